--- /dev/null
+++ b/packages/core/src/context.ts
@@ -0,0 +1,33 @@
+import type { PeerStatus } from '@archpost/wire';
+import type { CoreSettings, Effect, Level, Ms } from './model.js';
+import type { Replica } from './replica.js';
+import type { Table } from './table.js';
+import type { Writer } from './writer.js';
+
+export interface Peer {
+  status: PeerStatus;
+  at: Ms;
+  up: boolean;
+}
+
+/** What the parts of the core share. */
+export interface Context {
+  readonly settings: CoreSettings;
+  readonly boot: string;
+  readonly table: Table;
+  readonly replica: Replica;
+  readonly writer: Writer;
+  readonly lease: { permit: number | null; validUntil: Ms };
+  readonly peers: Map<string, Peer>;
+  /** the replica holds everything that was so at this time */
+  freshAt: Ms;
+  emit(e: Effect): void;
+  log(level: Level, msg: string, data?: Record<string, unknown>): void;
+  nextId(): number;
+  leaseValid(now: Ms): boolean;
+  peerAlive(node: string, now: Ms): boolean;
+  afterBarrier(now: Ms, run: (now: Ms) => void, until?: Ms, late?: () => void): void;
+  gained(holding: string, stamp: number): void;
+  lost(holding: string): void;
+  planSoon(): void;
+}
--- /dev/null
+++ b/packages/core/src/core.ts
@@ -0,0 +1,327 @@
+import type { Change, Command, Listed, MachineType, PeerStatus, Report, Row } from '@archpost/wire';
+import { goHome, reportAnswer } from '@archpost/wire';
+import type { Context, Peer } from './context.js';
+import { Desk } from './desk.js';
+import { Holdings } from './holdings.js';
+import { Lead } from './lead.js';
+import type { CoreSettings, Effect, Level, Ms } from './model.js';
+import { Owner } from './owner.js';
+import { Replica } from './replica.js';
+import { KEY, Table } from './table.js';
+import { Writer } from './writer.js';
+
+/** How long a peer's silence is borne before its link counts as down. */
+const PEER_SILENT_MS = 3500;
+
+/**
+ * One controller's decisions as a state machine. Inputs go in through the methods, each
+ * with its time; what is to be sent, written and answered is collected by `drain`.
+ */
+export class Core implements Context {
+  readonly table: Table;
+  readonly replica: Replica;
+  readonly writer: Writer;
+  readonly lease = { permit: null as number | null, validUntil: -1 };
+  readonly peers = new Map<string, Peer>();
+  freshAt: Ms = -1e12;
+  readonly desk: Desk;
+  readonly owner: Owner;
+  readonly lead: Lead;
+  readonly holdings: Holdings;
+  private effects: Effect[] = [];
+  private ids = 1;
+  private now: Ms = 0;
+  private waiters: { from: Ms; run: (now: Ms) => void; until: Ms; late: (() => void) | undefined }[] = [];
+  private readonly heard = new Map<string, Ms>();
+  private lastStatus: Ms = -1e12;
+  private typesAskedAt: Ms = -1e12;
+
+  constructor(
+    readonly settings: CoreSettings,
+    readonly boot: string,
+  ) {
+    this.table = new Table(settings);
+    this.replica = new Replica((key, entry) => this.keyChanged(key, entry));
+    const share = 0.95 / Math.max(1, settings.nodes.length);
+    this.writer = new Writer(
+      { writesPerS: Math.max(1, settings.state.writeRps * share), txnOps: settings.state.txnOps },
+      this.replica,
+      (e) => this.emit(e),
+      () => this.lease.permit,
+      (now, run) => this.afterBarrier(now, run),
+      () => this.leaseLost(),
+    );
+    this.desk = new Desk(this);
+    this.owner = new Owner(this);
+    this.lead = new Lead(this, this.owner);
+    this.holdings = new Holdings(this);
+  }
+
+  // ---- context
+
+  emit(e: Effect): void {
+    this.effects.push(e);
+  }
+
+  log(level: Level, msg: string, data?: Record<string, unknown>): void {
+    this.effects.push(data ? { t: 'log', level, msg, data } : { t: 'log', level, msg });
+  }
+
+  drain(): Effect[] {
+    const out = this.effects;
+    this.effects = [];
+    return out;
+  }
+
+  nextId(): number {
+    return this.ids++;
+  }
+
+  leaseValid(now: Ms): boolean {
+    return this.lease.permit !== null && now < this.lease.validUntil;
+  }
+
+  peerAlive(node: string, now: Ms): boolean {
+    const p = this.peers.get(node);
+    return p?.up === true && now - p.at < PEER_SILENT_MS;
+  }
+
+  /** Runs once the replica holds everything that was so when this was called. */
+  afterBarrier(now: Ms, run: (now: Ms) => void, until = Number.POSITIVE_INFINITY, late?: () => void): void {
+    this.waiters.push({ from: now, run, until, late });
+    this.emit({ t: 'barrier' });
+  }
+
+  gained(holding: string, stamp: number): void {
+    if (holding === 'lead') this.lead.gained(stamp, this.now);
+    else this.owner.gained(Number(holding), stamp, this.now);
+  }
+
+  lost(holding: string): void {
+    if (holding === 'lead') this.lead.lost();
+    else this.owner.lost(Number(holding));
+  }
+
+  planSoon(): void {
+    this.owner.planSoon();
+  }
+
+  // ---- the state service
+
+  private keyChanged(key: string, entry: { value: unknown; stamp: number } | null): void {
+    if (!key.startsWith(KEY.root)) return;
+    const c = this.table.apply(key, entry, this.now);
+    if (c.holding !== undefined) this.holdings.changed(c.holding);
+    if (c.machine) {
+      if (c.machine.share < 0) this.lead.machineGone(c.machine.name, this.now);
+      this.owner.machineChanged(c.machine, this.now);
+    }
+    if (c.job) this.owner.jobChanged(c.job);
+  }
+
+  loaded(rows: Row[], revision: number, now: Ms): void {
+    this.now = now;
+    this.replica.reset(rows, revision);
+    this.after(now);
+  }
+
+  /** Changes read by a request that was sent at `asOf`. */
+  changes(list: Change[], revision: number, asOf: Ms, now: Ms): void {
+    this.now = now;
+    this.replica.apply(list, revision);
+    if (asOf > this.freshAt) this.freshAt = asOf;
+    const due = this.waiters.filter((w) => w.from <= asOf);
+    if (due.length > 0) {
+      this.waiters = this.waiters.filter((w) => w.from > asOf);
+      for (const w of due) w.run(now);
+    }
+    this.after(now);
+  }
+
+  get barrierWanted(): boolean {
+    return this.waiters.length > 0;
+  }
+
+  txnResult(id: number, r: Parameters<Writer['result']>[1], now: Ms): void {
+    this.now = now;
+    this.writer.result(id, r, now);
+    this.after(now);
+  }
+
+  /** The lease stands until `validUntil` at least; null: there is none. */
+  leaseState(permit: number | null, validUntil: Ms, now: Ms): void {
+    this.now = now;
+    if (permit === null) {
+      if (this.lease.permit !== null) this.leaseLost();
+      return;
+    }
+    if (this.lease.permit !== null && this.lease.permit !== permit) this.leaseLost();
+    this.lease.permit = permit;
+    this.lease.validUntil = validUntil;
+    this.after(now);
+  }
+
+  private leaseLost(): void {
+    this.log('warn', 'state lease lost');
+    this.lease.permit = null;
+    this.lease.validUntil = -1;
+    this.holdings.dropAll();
+  }
+
+  // ---- users
+
+  submit(id: number, body: Record<string, unknown> | null, now: Ms, wall: number): void {
+    this.now = now;
+    this.desk.submit(id, body, now, wall);
+    this.after(now);
+  }
+
+  poll(id: number, job: string, now: Ms): void {
+    this.now = now;
+    this.desk.poll(id, job, now);
+  }
+
+  cancel(id: number, job: string, now: Ms): void {
+    this.now = now;
+    this.desk.cancel(id, job, now);
+    this.after(now);
+  }
+
+  /** Ready for users: what the state service holds is known. */
+  get ready(): boolean {
+    return this.replica.loaded && this.table.typesKnown;
+  }
+
+  // ---- workers
+
+  report(id: number, r: Report, now: Ms): void {
+    this.now = now;
+    if (!this.replica.loaded || !this.leaseValid(now)) {
+      this.emit({ t: 'answer', id, status: 503, body: { error: 'not entitled' } });
+      return;
+    }
+    const m = this.table.machines.get(r.machine);
+    if (!m) {
+      this.lead.stranger({ machine: r.machine, addr: r.addr, type: r.type, zone: r.zone, spot: r.spot }, now);
+      this.emit({ t: 'answer', id, status: 421, body: goHome(null) });
+      this.after(now);
+      return;
+    }
+    const holder = this.table.holder(m.share)?.holder.node ?? null;
+    if (holder === this.settings.node) {
+      if (!this.owner.mayAct(m.share, now)) {
+        this.emit({ t: 'answer', id, status: 503, body: { error: 'not entitled' } });
+        return;
+      }
+      if (r.addr) m.addr = r.addr;
+      this.owner.observe(m, r, now);
+      this.emit({ t: 'answer', id, status: 200, body: reportAnswer(this.table.token(m), []) });
+      this.after(now);
+      return;
+    }
+    if (holder !== null && this.peerAlive(holder, now)) {
+      this.emit({ t: 'answer', id, status: 421, body: goHome(holder) });
+      return;
+    }
+    // A keeper: the work must not die because its owner did, or can't be reached from here.
+    this.heard.set(r.machine, now);
+    const stops: Command[] = [];
+    for (const t of r.tasks) {
+      if (t.state !== 'exited' && this.table.finals.get(t.job) === 'cancelled') {
+        stops.push({ op: 'stop', job: t.job, index: t.index, attempt: t.attempt, graceS: 0 });
+      }
+    }
+    this.emit({ t: 'answer', id, status: 200, body: reportAnswer(this.table.token(m), stops) });
+  }
+
+  commandResult(id: number, r: Parameters<Owner['commandResult']>[1], now: Ms): void {
+    this.now = now;
+    this.owner.commandResult(id, r, now);
+    this.after(now);
+  }
+
+  // ---- cloud
+
+  types(list: MachineType[] | null, now: Ms): void {
+    this.now = now;
+    if (!list || list.length === 0) return;
+    const known = this.replica.get(KEY.types);
+    this.table.setTypes(list);
+    if (!known && this.replica.loaded) {
+      this.writer.add({ key: KEY.types, value: () => list, guard: 0, urgency: 3, until: now + 10_000, done: () => {} });
+    }
+    this.after(now);
+  }
+
+  listed(machines: Listed[] | null, now: Ms): void {
+    this.now = now;
+    this.lead.list(machines, now);
+  }
+
+  rented(id: number, r: Parameters<Lead['rented']>[1], now: Ms): void {
+    this.now = now;
+    this.lead.rented(id, r, now);
+    this.after(now);
+  }
+
+  returned(id: number, ok: boolean, now: Ms): void {
+    this.now = now;
+    if (!this.lead.returned(id, ok, now)) this.owner.returned(id, ok, now);
+    this.after(now);
+  }
+
+  // ---- peers
+
+  peerStatus(status: PeerStatus, now: Ms): void {
+    this.now = now;
+    this.peers.set(status.node, { status, at: now, up: true });
+  }
+
+  peerDown(node: string, now: Ms): void {
+    this.now = now;
+    const p = this.peers.get(node);
+    if (p) p.up = false;
+  }
+
+  private status(now: Ms): PeerStatus {
+    for (const [k, t] of this.heard) if (now - t > 4000) this.heard.delete(k);
+    return {
+      node: this.settings.node,
+      shares: [...this.owner.held.keys()].map((s) => this.owner.share(s, now)),
+      running: this.owner.running(),
+      strangers: this.lead.strangersNow(now),
+      heard: [...this.heard.keys()],
+    };
+  }
+
+  // ---- time
+
+  tick(now: Ms): void {
+    this.now = now;
+    const late = this.waiters.filter((w) => now > w.until);
+    if (late.length > 0) {
+      this.waiters = this.waiters.filter((w) => now <= w.until);
+      for (const w of late) w.late?.();
+    }
+    if (this.waiters.length > 0) this.emit({ t: 'barrier' });
+    if (this.lease.permit !== null && now >= this.lease.validUntil) this.holdings.dropAll();
+    this.desk.tick(now);
+    this.holdings.tick(now);
+    this.owner.tick(now);
+    this.lead.tick(now);
+    const wantTypes = !this.table.typesKnown || this.lead.leading;
+    if (wantTypes && now - this.typesAskedAt > (this.table.typesKnown ? 60_000 : 1500)) {
+      this.typesAskedAt = now;
+      this.emit({ t: 'types' });
+    }
+    if (now - this.lastStatus > 700) {
+      this.lastStatus = now;
+      this.emit({ t: 'status', status: this.status(now) });
+    }
+    this.after(now);
+  }
+
+  private after(now: Ms): void {
+    this.writer.flush(now);
+  }
+}
--- /dev/null
+++ b/packages/core/src/desk.ts
@@ -0,0 +1,224 @@
+import { JOB_ID, type JobSpec, jobAnswer, parseSubmission } from '@archpost/wire';
+import type { Context } from './context.js';
+import type { Job, Ms } from './model.js';
+import { copies } from './placement.js';
+import { type JobRecord, KEY } from './table.js';
+
+/** Users wait 5 s for an answer to a submission and 2 s for one to a poll. */
+const SUBMIT_MS = 4000;
+const POLL_MS = 1700;
+
+/** Users' requests, at any controller. */
+export class Desk {
+  private open = 0;
+
+  constructor(private readonly cx: Context) {}
+
+  private answer(id: number, status: number, body: unknown, retryAfterS?: number): void {
+    this.open--;
+    this.cx.emit(retryAfterS === undefined ? { t: 'answer', id, status, body } : { t: 'answer', id, status, body, retryAfterS });
+  }
+
+  private busy(id: number, why: string): void {
+    this.answer(id, 503, { error: why }, 1);
+  }
+
+  /** More requests than this wait already: one more would only make all of them late. */
+  private crowded(): boolean {
+    return this.open > 200 || this.cx.writer.length > 6 * this.cx.settings.state.writeRps;
+  }
+
+  submit(id: number, body: Record<string, unknown> | null, now: Ms, wall: number): void {
+    this.open++;
+    if (!body) return this.answer(id, 400, { error: 'the body is not a MessagePack map' });
+    const parsed = parseSubmission(body);
+    if ('field' in parsed) return this.answer(id, 400, { error: `field ${parsed.field} is missing or invalid` });
+    const { spec } = parsed;
+    const final = this.cx.table.finals.get(spec.id);
+    if (final) return this.answer(id, 200, jobAnswer(spec.id, final));
+    if (!this.cx.replica.loaded || !this.cx.table.typesKnown) return this.busy(id, 'not ready');
+    if (this.cx.table.jobs.has(spec.id)) return this.known(id, spec.id, now);
+    const never = this.neverRuns(spec);
+    if (never) {
+      this.cx.afterBarrier(
+        now,
+        () => {
+          const state = this.state(spec.id);
+          if (state) this.answer(id, 200, jobAnswer(spec.id, state));
+          else this.answer(id, 422, { error: never });
+        },
+        now + SUBMIT_MS,
+        () => this.busy(id, 'the state service does not answer'),
+      );
+      return;
+    }
+    if (this.crowded()) return this.busy(id, 'overloaded');
+    let over = false;
+    const record: JobRecord = { s: 0, t: wall, sp: spec };
+    this.cx.writer.add({
+      key: KEY.job(spec.id),
+      value: () => record,
+      guard: 0,
+      urgency: 2,
+      until: now + SUBMIT_MS,
+      done: (outcome) => {
+        if (over) return;
+        over = true;
+        if (outcome === 'ok') this.answer(id, 201, jobAnswer(spec.id, 'queued'));
+        else if (outcome === 'conflict') {
+          const state = this.state(spec.id);
+          if (state) this.answer(id, 200, jobAnswer(spec.id, state));
+          else this.busy(id, 'try again');
+        } else this.busy(id, 'the state service does not answer');
+      },
+    });
+    this.expire(now + SUBMIT_MS, () => {
+      if (over) return;
+      over = true;
+      this.busy(id, 'the state service does not answer');
+    });
+  }
+
+  private readonly timers: { at: Ms; run: () => void }[] = [];
+
+  private expire(at: Ms, run: () => void): void {
+    this.timers.push({ at, run });
+  }
+
+  tick(now: Ms): void {
+    while (this.timers.length > 0 && (this.timers[0] as { at: Ms }).at <= now) this.timers.shift()?.run();
+  }
+
+  private known(id: number, job: string, now: Ms): void {
+    this.cx.afterBarrier(
+      now,
+      () => {
+        const state = this.state(job);
+        if (state) this.answer(id, 200, jobAnswer(job, state));
+        else this.busy(id, 'try again');
+      },
+      now + SUBMIT_MS,
+      () => this.busy(id, 'the state service does not answer'),
+    );
+  }
+
+  private state(id: string): 'queued' | 'running' | 'done' | 'cancelled' | null {
+    const final = this.cx.table.finals.get(id);
+    if (final) return final;
+    const job = this.cx.table.jobs.get(id);
+    if (!job) return null;
+    return this.counts(job).running > 0 ? 'running' : 'queued';
+  }
+
+  private counts(job: Job): { done: number; running: number } {
+    let running = 0;
+    for (const p of job.placements.values()) if (p.phase === 'there' && p.report?.state === 'running') running++;
+    let done = job.doneCount;
+    if (running === 0) {
+      for (const peer of this.cx.peers.values()) {
+        const r = peer.status.running.find((x) => x.job === job.spec.id);
+        if (r) {
+          running = Math.max(running, r.count);
+          done = Math.max(done, r.done);
+        }
+      }
+    }
+    return { done: Math.min(done, job.spec.tasks), running };
+  }
+
+  poll(id: number, job: string, now: Ms): void {
+    this.open++;
+    if (!JOB_ID.test(job)) return this.answer(id, 404, { error: 'no such job' });
+    const final = this.cx.table.finals.get(job);
+    if (final) return this.answer(id, 200, this.finalAnswer(job, final));
+    if (!this.cx.replica.loaded) return this.busy(id, 'not ready');
+    this.cx.afterBarrier(
+      now,
+      () => {
+        const state = this.state(job);
+        const j = this.cx.table.jobs.get(job);
+        if (state === 'done' || state === 'cancelled') this.answer(id, 200, this.finalAnswer(job, state));
+        else if (state && j) this.answer(id, 200, jobAnswer(job, state, this.counts(j)));
+        else this.answer(id, 404, { error: 'no such job' });
+      },
+      now + POLL_MS,
+      () => this.busy(id, 'the state service does not answer'),
+    );
+  }
+
+  private finalAnswer(id: string, state: 'done' | 'cancelled') {
+    const record = this.cx.replica.get(KEY.job(id))?.value as (JobRecord & { n?: number }) | undefined;
+    const n = record?.sp?.tasks ?? record?.n ?? 0;
+    return jobAnswer(id, state, { done: state === 'done' ? n : 0, running: 0 });
+  }
+
+  cancel(id: number, job: string, now: Ms): void {
+    this.open++;
+    if (!JOB_ID.test(job)) return this.answer(id, 404, { error: 'no such job' });
+    if (!this.cx.replica.loaded) return this.busy(id, 'not ready');
+    this.tryCancel(id, job, now, now + SUBMIT_MS);
+  }
+
+  private tryCancel(id: number, job: string, now: Ms, until: Ms): void {
+    const final = this.cx.table.finals.get(job);
+    if (final) return this.answer(id, 200, jobAnswer(job, final));
+    const entry = this.cx.replica.get(KEY.job(job));
+    if (!entry) {
+      this.cx.afterBarrier(
+        now,
+        (t) => {
+          if (this.cx.replica.get(KEY.job(job))) this.tryCancel(id, job, t, until);
+          else this.answer(id, 404, { error: 'no such job' });
+        },
+        until,
+        () => this.busy(id, 'the state service does not answer'),
+      );
+      return;
+    }
+    const record = entry.value as JobRecord;
+    let over = false;
+    this.cx.writer.add({
+      key: KEY.job(job),
+      value: () => ({ ...record, s: 2 }),
+      guard: entry.stamp,
+      urgency: 1,
+      until,
+      done: (outcome) => {
+        if (over) return;
+        over = true;
+        if (outcome === 'ok') this.answer(id, 200, jobAnswer(job, 'cancelled'));
+        else {
+          // Somebody else wrote first: the replica has it by now.
+          const now2 = this.cx.table.finals.get(job);
+          if (now2) this.answer(id, 200, jobAnswer(job, now2));
+          else this.busy(id, 'try again');
+        }
+      },
+    });
+    this.expire(until, () => {
+      if (over) return;
+      over = true;
+      this.busy(id, 'the state service does not answer');
+    });
+  }
+
+  /** Why the job can never run, or null. */
+  private neverRuns(spec: JobSpec): string | null {
+    const { table, settings } = this.cx;
+    const team = settings.teams.find((t) => t.name === spec.team);
+    if (!team) return `unknown team ${spec.team}`;
+    const types = table.types.filter((t) => t !== null && t !== undefined);
+    const fit = types.some(
+      (t) =>
+        (spec.types === null || spec.types.includes(t.name)) &&
+        copies(spec, t) >= 1 &&
+        (spec.zone === null || settings.zones.includes(spec.zone)) &&
+        (spec.zone === null || t.zones.length === 0 || t.zones.includes(spec.zone)),
+    );
+    if (!fit) return 'a task fits no allowed machine type';
+    const n = spec.shape === 'array' ? 1 : spec.tasks;
+    if (team.cpusMax > 0 && spec.cpus * n > team.cpusMax + 1e-6) return 'more cpus than the team may use';
+    if (team.gpusMax > 0 && spec.gpus * n > team.gpusMax + 1e-6) return 'more gpus than the team may use';
+    return null;
+  }
+}
--- /dev/null
+++ b/packages/core/src/holdings.ts
@@ -0,0 +1,130 @@
+import type { Context } from './context.js';
+import type { Ms } from './model.js';
+import { KEY } from './table.js';
+
+/**
+ * Who holds which share, and the lead. A key per holding names its holder and is attached
+ * to the holder's state lease: it disappears when the lease does. Each restart writes its
+ * own keys anew (same node, other boot), so that the token rises and nothing that the dead
+ * process left under way is obeyed; other nodes wait until the key is gone.
+ */
+export class Holdings {
+  private readonly absentSince = new Map<string, Ms>();
+  private readonly writing = new Set<string>();
+  /** stamp under which each holding is ours */
+  readonly mine = new Map<string, number>();
+  private releasing = new Set<string>();
+  private readonly homeSeen = new Map<string, Ms>();
+
+  constructor(private readonly cx: Context) {}
+
+  /** All holdings act only while the lease surely stands. */
+  active(name: string, now: Ms): boolean {
+    return this.mine.has(name) && !this.releasing.has(name) && this.cx.leaseValid(now);
+  }
+
+  private home(name: string): string {
+    const nodes = this.cx.settings.nodes;
+    const i = name === 'lead' ? nodes.length - 1 : Number(name) % nodes.length;
+    return nodes[i]?.name ?? this.cx.settings.node;
+  }
+
+  names(): string[] {
+    const out = ['lead'];
+    for (let i = 0; i < this.cx.settings.shares; i++) out.push(String(i));
+    return out;
+  }
+
+  changed(name: string): void {
+    const cur = this.cx.table.holders.get(name);
+    const me = this.cx.settings.node;
+    if (cur && cur.holder.node === me && cur.holder.boot === this.cx.boot) {
+      if (!this.mine.has(name)) this.releasing.delete(name);
+      if (this.mine.get(name) !== cur.stamp) {
+        this.mine.set(name, cur.stamp);
+        this.cx.log('info', 'holding gained', { holding: name, stamp: cur.stamp });
+        this.cx.gained(name, cur.stamp);
+      }
+    } else if (this.mine.delete(name)) {
+      this.releasing.delete(name);
+      this.cx.log('info', 'holding lost', { holding: name, to: cur?.holder.node ?? null });
+      this.cx.lost(name);
+    }
+  }
+
+  dropAll(): void {
+    for (const name of [...this.mine.keys()]) {
+      this.mine.delete(name);
+      this.cx.lost(name);
+    }
+    this.releasing.clear();
+  }
+
+  tick(now: Ms): void {
+    const cx = this.cx;
+    if (!cx.replica.loaded || !cx.leaseValid(now) || cx.lease.permit === null) return;
+    const me = cx.settings.node;
+    const count = this.mine.size;
+    for (const name of this.names()) {
+      const cur = cx.table.holders.get(name);
+      if (cur) {
+        this.absentSince.delete(name);
+        if (cur.holder.node === me && cur.holder.boot !== cx.boot) this.claim(name, cur.stamp, now);
+        continue;
+      }
+      if (this.mine.has(name)) continue;
+      const since = this.absentSince.get(name) ?? now;
+      this.absentSince.set(name, since);
+      // A live home node claims first; the others in turn, those with the least to hold first.
+      const rank = cx.settings.nodes.findIndex((n) => n.name === me);
+      const wait = this.home(name) === me ? 0 : (cx.peerAlive(this.home(name), now) ? 3000 : 1000) + 400 * count + 150 * rank;
+      if (now - since >= wait) this.claim(name, 0, now);
+    }
+    this.giveHome(now);
+  }
+
+  private claim(name: string, guard: number, now: Ms): void {
+    const cx = this.cx;
+    if (this.writing.has(name) || now - cx.freshAt > 3000) return;
+    this.writing.add(name);
+    cx.writer.add({
+      key: KEY.holding(name === 'lead' ? 'lead' : Number(name)),
+      value: () => ({ node: cx.settings.node, boot: cx.boot }),
+      guard,
+      leased: true,
+      urgency: 0,
+      until: now + 5000,
+      done: () => this.writing.delete(name),
+    });
+  }
+
+  /** Hands a share back to its home node once that is alive again and holds nothing. */
+  private giveHome(now: Ms): void {
+    const cx = this.cx;
+    for (const name of this.mine.keys()) {
+      const home = this.home(name);
+      if (name === 'lead' || home === cx.settings.node || this.releasing.has(name)) continue;
+      const idle = cx.peerAlive(home, now) && ![...cx.table.holders.values()].some((h) => h.holder.node === home);
+      if (!idle) {
+        this.homeSeen.delete(home);
+        continue;
+      }
+      const since = this.homeSeen.get(home) ?? now;
+      this.homeSeen.set(home, since);
+      if (now - since < 4000) continue;
+      this.releasing.add(name);
+      cx.log('info', 'handing share home', { share: name, to: home });
+      cx.writer.add({
+        key: KEY.holding(Number(name)),
+        value: () => undefined,
+        guard: this.mine.get(name) ?? 0,
+        urgency: 0,
+        until: now + 5000,
+        done: (o) => {
+          if (o !== 'ok') this.releasing.delete(name);
+        },
+      });
+      return;
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/src/lead.ts
@@ -0,0 +1,498 @@
+import type { Listed, MachineType, PeerDemand, PeerMachine, PeerShare } from '@archpost/wire';
+import type { Context } from './context.js';
+import type { Machine, Ms, Need } from './model.js';
+import type { Owner } from './owner.js';
+import { copies } from './placement.js';
+import { KEY } from './table.js';
+
+export interface Stranger {
+  machine: string;
+  addr: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+}
+
+interface Booking {
+  type: string;
+  zone: string;
+  spot: boolean;
+  count: number;
+  names: string[];
+  at: Ms;
+}
+
+interface Market {
+  notBefore: Ms;
+  refusals: number;
+}
+
+/** The elected lead: grants machines to shares, moves them, rents and gives back. */
+export class Lead {
+  private since: Ms = -1;
+  private stamp = 0;
+  private counter = 0;
+  private lastRound: Ms = -1e12;
+  private lastList: Ms = -1e12;
+  private listBusy = false;
+  private listed = new Map<string, Listed>();
+  private listAt: Ms = -1;
+  private readonly strangers = new Map<string, { s: Stranger; at: Ms }>();
+  private readonly granting = new Set<string>();
+  private readonly bookings = new Map<number, Booking>();
+  private readonly booting = new Map<string, Booking>();
+  private readonly markets = new Map<string, Market>();
+  private readonly goneAt = new Map<string, Ms>();
+  private readonly returns = new Map<number, string[]>();
+  private readonly moves = new Map<string, Ms>();
+  private nextRentAt: Ms = 0;
+  private readonly saves: boolean;
+
+  constructor(
+    private readonly cx: Context,
+    private readonly owner: Owner,
+  ) {
+    this.saves = cx.settings.objectives.some((o) => o.kind === 'price');
+  }
+
+  gained(stamp: number, now: Ms): void {
+    this.since = now;
+    this.stamp = stamp;
+    this.counter = 0;
+    this.booting.clear();
+    this.bookings.clear();
+    this.listBusy = false;
+    this.listAt = -1;
+    this.moves.clear();
+  }
+
+  lost(): void {
+    this.since = -1;
+  }
+
+  get leading(): boolean {
+    return this.since >= 0;
+  }
+
+  machineGone(name: string, now: Ms): void {
+    this.goneAt.set(name, now);
+    this.booting.delete(name);
+    if (this.goneAt.size > 2000) {
+      const first = this.goneAt.keys().next().value;
+      if (first !== undefined) this.goneAt.delete(first);
+    }
+  }
+
+  stranger(s: Stranger, now: Ms): void {
+    this.strangers.set(s.machine, { s, at: now });
+  }
+
+  strangersNow(now: Ms): Stranger[] {
+    for (const [k, v] of this.strangers) if (now - v.at > 4000 || this.cx.table.machines.has(k)) this.strangers.delete(k);
+    return [...this.strangers.values()].map((x) => x.s);
+  }
+
+  tick(now: Ms): void {
+    if (this.since < 0 || !this.cx.leaseValid(now)) return;
+    const interval = Math.max(2000, 4000 / this.cx.settings.cloud.rps);
+    if (!this.listBusy && now - this.lastList > interval) {
+      this.lastList = now;
+      this.listBusy = true;
+      this.cx.emit({ t: 'list' });
+    }
+    this.grantStrangers(now);
+    if (now - this.lastRound < 500 || now - this.cx.freshAt > 4000) return;
+    this.lastRound = now;
+    const shares = this.shares(now);
+    this.move(shares, now);
+    if (this.cx.table.typesKnown && this.listAt >= 0) {
+      this.rent(shares, now);
+      this.tidy(now);
+      if (this.saves) this.giveBackIdle(shares, now);
+    }
+  }
+
+  // ---- views
+
+  private shares(now: Ms): Map<number, PeerShare> {
+    const out = new Map<number, PeerShare>();
+    for (const p of this.cx.peers.values()) {
+      if (now - p.at > 4000) continue;
+      for (const s of p.status.shares) if (this.cx.table.holder(s.share)?.holder.node === p.status.node) out.set(s.share, s);
+    }
+    for (const share of this.owner.held.keys()) out.set(share, this.owner.share(share, now));
+    return out;
+  }
+
+  private typeOf(name: string): MachineType | null {
+    return this.cx.table.types[this.cx.table.typeNames.find(name)] ?? null;
+  }
+
+  private suits(d: PeerDemand, type: string, zone: string, spot: boolean): boolean {
+    return (d.types.length === 0 || d.types.includes(type)) && (d.zone === '' || d.zone === zone) && (d.spot || !spot);
+  }
+
+  // ---- grants
+
+  private grantStrangers(now: Ms): void {
+    const { table, writer } = this.cx;
+    const all = new Map<string, Stranger>();
+    for (const s of this.strangersNow(now)) all.set(s.machine, s);
+    for (const p of this.cx.peers.values()) if (now - p.at < 4000) for (const s of p.status.strangers) all.set(s.machine, s);
+    for (const s of all.values()) {
+      if (table.machines.has(s.machine) || this.granting.has(s.machine)) continue;
+      const gone = this.goneAt.get(s.machine);
+      // A late report of a machine that was given back.
+      if (gone !== undefined && now - gone < 120_000) continue;
+      this.granting.add(s.machine);
+      const share = this.shareFor(s.type);
+      this.pendingGrants.set(s.machine, { share, type: s.type });
+      writer.add({
+        key: KEY.grant(s.machine),
+        value: () => ({ s: share, a: s.addr, t: s.type, z: s.zone, sp: s.spot }),
+        guard: 0,
+        also: [{ key: KEY.holding('lead'), stamp: this.stamp }],
+        urgency: 1,
+        until: now + 8000,
+        done: () => {
+          this.granting.delete(s.machine);
+          this.pendingGrants.delete(s.machine);
+          this.booting.delete(s.machine);
+        },
+      });
+    }
+  }
+
+  private readonly pendingGrants = new Map<string, { share: number; type: string }>();
+
+  /** The share that is worst off for this type, by what its teams are guaranteed. */
+  private shareFor(type: string): number {
+    const { table, settings } = this.cx;
+    const cap = this.typeOf(type);
+    const have = new Array<number>(settings.shares).fill(0);
+    const ti = table.typeNames.index(type);
+    for (const m of table.machines.values()) {
+      const s = m.moveTo >= 0 ? m.moveTo : m.share;
+      if (m.type === ti && s >= 0) have[s] = (have[s] ?? 0) + 1;
+    }
+    for (const g of this.pendingGrants.values()) if (g.type === type) have[g.share] = (have[g.share] ?? 0) + 1;
+    const weight = new Array<number>(settings.shares).fill(0.01);
+    settings.teams.forEach((t, i) => {
+      const s = table.teamShare[i] ?? 0;
+      weight[s] = (weight[s] ?? 0) + ((cap?.gpus ?? 0) > 0 ? t.gpus + 0.1 : 1);
+    });
+    let best = 0;
+    for (let k = 1; k < settings.shares; k++) {
+      if ((have[k] as number) / (weight[k] as number) < (have[best] as number) / (weight[best] as number)) best = k;
+    }
+    return best;
+  }
+
+  // ---- moves
+
+  /** Free machines, or such as bear lesser work only, go where work has no room. */
+  private move(shares: Map<number, PeerShare>, now: Ms): void {
+    const { table } = this.cx;
+    for (const [name, at] of this.moves) {
+      const m = table.machines.get(name);
+      if (!m || (m.moveTo < 0 && now - at > 3000)) this.moves.delete(name);
+    }
+    const wants: { share: number; d: PeerDemand; left: number }[] = [];
+    for (const s of shares.values())
+      for (const d of s.demands) if (d.waitS > 0.2) wants.push({ share: s.share, d, left: d.count });
+    wants.sort((a, b) => b.d.rank - a.d.rank || Number(b.d.within) - Number(a.d.within) || b.d.waitS - a.d.waitS);
+    const taken = new Set<string>();
+    // What is on its way already serves the first who want it.
+    for (const [name] of this.moves) {
+      const m = table.machines.get(name);
+      if (!m || m.moveTo < 0 || !m.cap) continue;
+      this.serve(wants, m.moveTo, m, m.cap);
+      taken.add(name);
+    }
+    let budget = 6;
+    for (const w of wants) {
+      if (budget <= 0) break;
+      const options: { m: Machine; p: PeerMachine; score: number }[] = [];
+      for (const s of shares.values()) {
+        if (s.share === w.share) continue;
+        // A share in the same need keeps what it has.
+        const rival = s.demands.some(
+          (d) => d.rank > w.d.rank || (d.rank === w.d.rank && (d.within || !w.d.within) && d.waitS > 0.2),
+        );
+        for (const p of s.machines) {
+          const m = table.machines.get(p.name);
+          if (!m || m.share !== s.share || m.moveTo >= 0 || m.retire || taken.has(p.name) || !m.cap) continue;
+          if (p.firmRank >= w.d.rank || copies(w.d, m.cap) < 1) continue;
+          if (!this.suits(w.d, m.cap.name, table.zoneNames.name(m.zone), m.spot)) continue;
+          if (
+            rival &&
+            s.demands.some(
+              (d) =>
+                d.rank >= w.d.rank &&
+                this.suits(d, (m.cap as MachineType).name, table.zoneNames.name(m.zone), m.spot) &&
+                copies(d, m.cap as MachineType) >= 1,
+            )
+          )
+            continue;
+          if (w.d.gpus === 0 && m.cap.gpus > 0 && w.d.rank < 2 && p.tasks > 0) continue;
+          const n = copies(w.d, m.cap);
+          options.push({
+            m,
+            p,
+            score: (p.tasks > 0 ? 100 + 10 * p.tasks : 0) + (w.d.gpus === 0 && m.cap.gpus > 0 ? 50 : 0) - Math.min(n, w.left),
+          });
+        }
+      }
+      options.sort((a, b) => a.score - b.score);
+      for (const o of options) {
+        if (w.left <= 0 || budget <= 0) break;
+        taken.add(o.m.name);
+        budget--;
+        w.left -= copies(w.d, o.m.cap as MachineType);
+        this.order(o.m, w.share, now);
+      }
+    }
+  }
+
+  private serve(wants: { share: number; d: PeerDemand; left: number }[], share: number, m: Machine, cap: MachineType): void {
+    const free: Need = { cpus: cap.cpus, gpus: cap.gpus, memory: cap.memory };
+    for (const w of wants) {
+      if (w.share !== share || w.left <= 0) continue;
+      if (!this.suits(w.d, cap.name, this.cx.table.zoneNames.name(m.zone), m.spot)) continue;
+      const n = Math.min(w.left, copies(w.d, free));
+      w.left -= n;
+      free.cpus -= n * w.d.cpus;
+      free.gpus -= n * w.d.gpus;
+      free.memory -= n * w.d.memory;
+    }
+  }
+
+  private order(m: Machine, share: number, now: Ms): void {
+    this.moves.set(m.name, now);
+    this.cx.log('debug', 'move', { machine: m.name, from: m.share, to: share });
+    this.cx.writer.add({
+      key: KEY.grant(m.name),
+      value: () => ({ ...this.cx.table.grantOf(m), mv: share }),
+      guard: m.grantStamp,
+      also: [{ key: KEY.holding('lead'), stamp: this.stamp }],
+      urgency: 1,
+      until: now + 4000,
+      done: (o) => {
+        if (o !== 'ok') this.moves.delete(m.name);
+      },
+    });
+  }
+
+  // ---- the cloud
+
+  list(machines: Listed[] | null, now: Ms): void {
+    this.listBusy = false;
+    if (!machines || this.since < 0) return;
+    this.listed = new Map(machines.map((m) => [m.machine, m]));
+    this.listAt = now;
+    for (const name of this.listed.keys()) this.booting.delete(name);
+  }
+
+  private market(type: string, zone: string, spot: boolean): Market {
+    const key = `${type}/${zone}/${spot}`;
+    let m = this.markets.get(key);
+    if (!m) {
+      m = { notBefore: 0, refusals: 0 };
+      this.markets.set(key, m);
+    }
+    return m;
+  }
+
+  /** Room that is on its way: rented machines that nobody has been granted yet. */
+  private onTheWay(now: Ms): { type: string; zone: string; spot: boolean }[] {
+    const out: { type: string; zone: string; spot: boolean }[] = [];
+    for (const b of this.booting.values()) out.push(b);
+    for (const b of this.bookings.values()) for (let i = 0; i < b.count; i++) out.push(b);
+    for (const l of this.listed.values()) {
+      if (l.state === 'failed' || this.cx.table.machines.has(l.machine) || this.goneAt.has(l.machine)) continue;
+      const boot = this.typeOf(l.type)?.bootS ?? 60;
+      if (l.ageS + (now - this.listAt) / 1000 < boot * 2.5) out.push(l);
+    }
+    return out;
+  }
+
+  private rent(shares: Map<number, PeerShare>, now: Ms): void {
+    // A new lead doesn't know what the last one rented: the list will tell.
+    if (now - this.since < 2000 * this.cx.settings.cloud.listLagS + 2000 && this.since > 0 && this.takenOver) return;
+    if (now < this.nextRentAt || this.bookings.size >= 2) return;
+    const { settings, table } = this.cx;
+    const held = table.machines.size + this.onTheWay(now).length;
+    const max = settings.policy.maxMachines;
+    if (max !== null && held >= max) return;
+    const want = this.saves ? this.wantByNeed(shares, now) : this.wantToHold(shares, now);
+    if (!want) return;
+    const count = Math.max(1, Math.min(want.count, 50, max === null ? 50 : max - held));
+    const id = this.cx.nextId();
+    const request = `r-${this.stamp}-${++this.counter}`;
+    this.bookings.set(id, { ...want, count, names: [], at: now });
+    this.cx.log('info', 'renting', { request, ...want, count });
+    this.cx.emit({ t: 'rent', id, rental: { request, type: want.type, zone: want.zone, spot: want.spot, count } });
+    this.nextRentAt = now + Math.max(300, 1500 / settings.cloud.rps);
+  }
+
+  /** Set where machines were granted before this lead began. */
+  private get takenOver(): boolean {
+    return this.cx.table.machines.size > 0 && this.stamp > 200;
+  }
+
+  private options(): { type: MachineType; zone: string; spot: boolean }[] {
+    const out: { type: MachineType; zone: string; spot: boolean }[] = [];
+    for (const type of this.cx.table.types) {
+      if (!type) continue;
+      for (const zone of type.zones.length > 0 ? type.zones : this.cx.settings.zones) {
+        for (const spot of [false, true]) out.push({ type, zone, spot });
+      }
+    }
+    return out;
+  }
+
+  /** No price among the objectives: hold spare room of every kind that is used. */
+  private wantToHold(
+    shares: Map<number, PeerShare>,
+    now: Ms,
+  ): { type: string; zone: string; spot: boolean; count: number } | null {
+    const room = new Map<string, { all: number; free: number }>();
+    for (const s of shares.values()) {
+      for (const p of s.machines) {
+        const m = this.cx.table.machines.get(p.name);
+        if (!m?.cap) continue;
+        const r = room.get(m.cap.name) ?? { all: 0, free: 0 };
+        r.all += m.cap.cpus;
+        r.free += m.cap.gpus > 0 ? (m.cap.cpus * p.freeGpus) / m.cap.gpus : p.freeCpus;
+        room.set(m.cap.name, r);
+      }
+    }
+    const unmet = [...shares.values()].flatMap((s) => s.demands);
+    const coming = this.onTheWay(now);
+    let best: { type: string; zone: string; spot: boolean; count: number; score: number } | null = null;
+    for (const o of this.options()) {
+      const mk = this.market(o.type.name, o.zone, o.spot);
+      if (now < mk.notBefore) continue;
+      const r = room.get(o.type.name) ?? { all: 0, free: 0 };
+      const due = coming.filter((c) => c.type === o.type.name).length * o.type.cpus;
+      const asked = unmet.filter((d) => copies(d, o.type) >= 1 && this.suits(d, o.type.name, o.zone, o.spot));
+      const spare = (r.free + due) / Math.max(1, r.all + due);
+      if (asked.length === 0 && spare > 0.4) continue;
+      const zoneCount = [...this.cx.table.machines.values()].filter(
+        (m) => m.cap?.name === o.type.name && this.cx.table.zoneNames.name(m.zone) === o.zone,
+      ).length;
+      const score = asked.length * 10 - zoneCount - (o.spot ? 1 : 0);
+      if (!best || score > best.score) best = { type: o.type.name, zone: o.zone, spot: o.spot, count: 4, score };
+    }
+    return best;
+  }
+
+  /** Money is an objective: rent for what waits, the cheapest kind per task. */
+  private wantByNeed(
+    shares: Map<number, PeerShare>,
+    now: Ms,
+  ): { type: string; zone: string; spot: boolean; count: number } | null {
+    const coming = this.onTheWay(now).map((c) => ({ c, t: this.typeOf(c.type) }));
+    const free = coming
+      .filter((x) => x.t)
+      .map((x) => ({ ...x, cpus: x.t?.cpus ?? 0, gpus: x.t?.gpus ?? 0, memory: x.t?.memory ?? 0 }));
+    const wants = [...shares.values()].flatMap((s) => s.demands).sort((a, b) => b.rank - a.rank || b.waitS - a.waitS);
+    for (const d of wants) {
+      let left = d.count;
+      for (const f of free) {
+        if (!this.suits(d, f.c.type, f.c.zone, f.c.spot)) continue;
+        const n = Math.min(left, copies(d, f));
+        left -= n;
+        f.cpus -= n * d.cpus;
+        f.gpus -= n * d.gpus;
+        f.memory -= n * d.memory;
+      }
+      if (left <= 0 || d.waitS < 1) continue;
+      let best: { type: string; zone: string; spot: boolean; count: number; score: number } | null = null;
+      for (const o of this.options()) {
+        if (!this.suits(d, o.type.name, o.zone, o.spot) || copies(d, o.type) < 1) continue;
+        if (now < this.market(o.type.name, o.zone, o.spot).notBefore) continue;
+        const n = copies(d, o.type);
+        const price = (o.spot ? o.type.spotPrice : o.type.price) / Math.min(n, left);
+        if (!best || price < best.score)
+          best = { type: o.type.name, zone: o.zone, spot: o.spot, count: Math.ceil(left / n), score: price };
+      }
+      if (best) return { ...best, count: Math.min(best.count, 8) };
+    }
+    return null;
+  }
+
+  rented(id: number, r: { kind: 'ok'; machines: string[] } | { kind: 'full' | 'unknown' }, now: Ms): void {
+    const b = this.bookings.get(id);
+    if (!b) return;
+    this.bookings.delete(id);
+    const mk = this.market(b.type, b.zone, b.spot);
+    if (r.kind === 'ok') {
+      for (const name of r.machines)
+        if (!this.listed.has(name)) this.booting.set(name, { ...b, count: 1, names: [name], at: now });
+      mk.refusals = r.machines.length < b.count ? 1 : 0;
+      mk.notBefore = r.machines.length < b.count ? now + 15_000 : now;
+    } else if (r.kind === 'full') {
+      mk.refusals++;
+      mk.notBefore = now + Math.min(90_000, 10_000 * 2 ** Math.min(4, mk.refusals));
+    } else {
+      // It may have been carried out: what came of it shows in the list.
+      mk.notBefore = now + 2000 * this.cx.settings.cloud.listLagS + 3000;
+    }
+  }
+
+  /** Machines that never come up, or that failed and nobody has been granted, go back. */
+  private tidy(now: Ms): void {
+    if (this.returns.size > 0) return;
+    const back: string[] = [];
+    for (const l of this.listed.values()) {
+      if (this.cx.table.machines.has(l.machine) || this.granting.has(l.machine)) continue;
+      const boot = this.typeOf(l.type)?.bootS ?? 60;
+      const age = l.ageS + (now - this.listAt) / 1000;
+      const gone = this.goneAt.get(l.machine);
+      if (l.state === 'failed' || age > boot * 3 + 20) {
+        if (gone !== undefined && now - gone < 60_000) continue;
+        back.push(l.machine);
+      }
+    }
+    for (const [name, b] of this.booting) if (now - b.at > 60_000) this.booting.delete(name);
+    if (back.length === 0) return;
+    const some = back.slice(0, 50);
+    const id = this.cx.nextId();
+    this.returns.set(id, some);
+    this.cx.log('info', 'returning machines that never came up', { machines: some });
+    this.cx.emit({ t: 'return', id, machines: some });
+  }
+
+  returned(id: number, ok: boolean, now: Ms): boolean {
+    const names = this.returns.get(id);
+    if (!names) return false;
+    this.returns.delete(id);
+    if (ok) for (const n of names) this.machineGone(n, now);
+    return true;
+  }
+
+  private giveBackIdle(shares: Map<number, PeerShare>, now: Ms): void {
+    const wanted = [...shares.values()].some((s) => s.demands.length > 0);
+    if (wanted) return;
+    let budget = 3;
+    for (const s of shares.values()) {
+      for (const p of s.machines) {
+        const m = this.cx.table.machines.get(p.name);
+        if (!m || budget <= 0 || p.tasks > 0 || m.moveTo >= 0 || m.retire || p.firmRank > 0) continue;
+        if (p.idleS < this.cx.settings.policy.idleS) continue;
+        budget--;
+        this.cx.log('info', 'not needed', { machine: m.name, idleS: Math.round(p.idleS) });
+        this.cx.writer.add({
+          key: KEY.grant(m.name),
+          value: () => ({ ...this.cx.table.grantOf(m), x: true }),
+          guard: m.grantStamp,
+          also: [{ key: KEY.holding('lead'), stamp: this.stamp }],
+          urgency: 3,
+          until: now + 4000,
+          done: () => {},
+        });
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/src/model.ts
@@ -0,0 +1,226 @@
+import type { Command, Guard, JobSpec, MachineType, PeerStatus, Rental, TaskReport, Write } from '@archpost/wire';
+
+/** Milliseconds of a steady clock; the core never reads one, every input brings its own. */
+export type Ms = number;
+
+export interface Team {
+  name: string;
+  cpus: number;
+  cpusMax: number;
+  gpus: number;
+  gpusMax: number;
+}
+
+export interface Objective {
+  kind: string;
+  cls: string | null;
+  withinS: number | null;
+  afterS: number | null;
+  share: number | null;
+  most: number | null;
+}
+
+export interface Policy {
+  /** a held plan that isn't complete after this long is released */
+  planWaitS: number;
+  /** a machine that answers nobody for this long is given back */
+  silentS: number;
+  /** an idle machine is given back after this long, where money is an objective */
+  idleS: number;
+  /** most machines held at once; null: as many as there are */
+  maxMachines: number | null;
+}
+
+export interface CoreSettings {
+  node: string;
+  zone: string;
+  /** every controller's name, sorted, with its zone */
+  nodes: { name: string; zone: string }[];
+  shares: number;
+  zones: string[];
+  teams: Team[];
+  objectives: Objective[];
+  workers: { reportS: number; leaseS: number; gangWaitS: number; gangPeerS: number; cancelS: number };
+  state: { rps: number; writeRps: number; valueKb: number; txnOps: number };
+  cloud: { rps: number; listLagS: number };
+  policy: Policy;
+}
+
+export type Level = 'debug' | 'info' | 'warn';
+
+/** What the core wants done. The edges carry it out and feed the outcome back in. */
+export type Effect =
+  | { t: 'txn'; id: number; guards: Guard[]; writes: Write[] }
+  | { t: 'barrier' }
+  | { t: 'command'; id: number; machine: string; addr: string; token: number; session: number; commands: Command[] }
+  | { t: 'rent'; id: number; rental: Rental }
+  | { t: 'return'; id: number; machines: string[] }
+  | { t: 'list' }
+  | { t: 'types' }
+  | { t: 'answer'; id: number; status: number; body: unknown; retryAfterS?: number }
+  | { t: 'status'; status: PeerStatus }
+  | { t: 'log'; level: Level; msg: string; data?: Record<string, unknown> };
+
+/** Hands out dense indices for names; index 0 is the first name seen. */
+export class Names {
+  private readonly byName = new Map<string, number>();
+  private readonly names: string[] = [];
+
+  index(name: string): number {
+    let i = this.byName.get(name);
+    if (i === undefined) {
+      i = this.names.length;
+      this.names.push(name);
+      this.byName.set(name, i);
+    }
+    return i;
+  }
+
+  find(name: string): number {
+    return this.byName.get(name) ?? -1;
+  }
+
+  name(i: number): string {
+    return this.names[i] ?? '';
+  }
+
+  get size(): number {
+    return this.names.length;
+  }
+}
+
+export interface Need {
+  cpus: number;
+  gpus: number;
+  memory: number;
+}
+
+/** One task on one machine, from the plan to the end of its report. */
+export interface Placement {
+  job: Job;
+  index: number;
+  attempt: number;
+  machine: Machine;
+  /**
+   * planned: room is held, nothing sent; sent: the start may have been executed;
+   * there: the worker reports it; exited: it has ended and awaits `forget`
+   */
+  phase: 'planned' | 'sent' | 'there' | 'exited';
+  report: TaskReport | null;
+  plannedAt: Ms;
+  /** wanted stop: grace in seconds; null: none */
+  stop: number | null;
+  stopSentAt: Ms;
+  /** when the first stop was sent; -1: not yet */
+  stopSince: Ms;
+  ranSince: Ms;
+}
+
+export class Job {
+  state: 'live' | 'done' | 'cancelled' = 'live';
+  stamp = 0;
+  /** first seen here */
+  arrivedAt: Ms = 0;
+  /** wall time of the submission */
+  wall = 0;
+  doneCount = 0;
+  done: Uint8Array;
+  stored: Uint8Array;
+  placements = new Map<number, Placement>();
+  /** first index that was never placed */
+  cursor = 0;
+  returned: number[] = [];
+  notBefore: Ms = 0;
+  errors = new Set<string>();
+  errorCount = 0;
+  progressQueued = false;
+  finishQueued = false;
+  /** gang: attempt in use; 0: none */
+  gangAttempt = 0;
+  gangFailed = false;
+  lastStop: Ms = -1e12;
+  /** longest run of one of its tasks so far, seconds */
+  ranS = 0;
+
+  constructor(
+    readonly spec: JobSpec,
+    readonly team: number,
+    readonly share: number,
+    readonly types: number[] | null,
+    readonly zone: number,
+    readonly image: number,
+  ) {
+    this.done = new Uint8Array(spec.tasks);
+    this.stored = new Uint8Array(spec.tasks);
+  }
+
+  get need(): Need {
+    return this.spec;
+  }
+
+  /** Tasks that are neither done nor anywhere. */
+  pendingCount(): number {
+    let placedUndone = 0;
+    for (const p of this.placements.values()) if (!this.done[p.index]) placedUndone++;
+    return this.spec.tasks - this.doneCount - placedUndone;
+  }
+
+  nextPending(): number {
+    while (this.returned.length > 0) {
+      const i = this.returned[this.returned.length - 1] as number;
+      if (!this.done[i] && !this.placements.has(i)) return i;
+      this.returned.pop();
+    }
+    while (this.cursor < this.spec.tasks) {
+      if (!this.done[this.cursor] && !this.placements.has(this.cursor)) return this.cursor;
+      this.cursor++;
+    }
+    return -1;
+  }
+
+  allPending(): number[] {
+    const out: number[] = [];
+    for (let i = 0; i < this.spec.tasks; i++) if (!this.done[i] && !this.placements.has(i)) out.push(i);
+    return out;
+  }
+}
+
+export class Machine {
+  share = -1;
+  grantStamp = 0;
+  moveTo = -1;
+  retire = false;
+  session = 0;
+  seq = -1;
+  /** answered our token since we took the share over: its report is all there is on it */
+  resolved = false;
+  /** a command's fate is unknown: its token must rise before it is used again */
+  dirty = false;
+  bumping = false;
+  inflight = 0;
+  inflightAt: Ms = 0;
+  retryAt: Ms = 0;
+  heardAt: Ms = 0;
+  noticeUntil: Ms = -1;
+  placements = new Map<string, Placement>();
+  /** tasks reported that belong to no job or place of ours */
+  strays: TaskReport[] = [];
+  images = new Map<number, number>();
+  errorJobs = new Set<string>();
+  /** a return to the cloud is wanted, because: */
+  giveBack = '';
+  returning = false;
+  returnAt: Ms = 0;
+  idleSince: Ms = 0;
+  grantQueued = false;
+  used: Need = { cpus: 0, gpus: 0, memory: 0 };
+
+  constructor(
+    readonly name: string,
+    public addr: string,
+    readonly type: number,
+    readonly zone: number,
+    readonly spot: boolean,
+    public cap: MachineType | null,
+  ) {}
+}
--- /dev/null
+++ b/packages/core/src/owner.ts
@@ -0,0 +1,1142 @@
+import type { Command, PeerDemand, PeerMachine, PeerShare, Report, TaskReport } from '@archpost/wire';
+import type { Context } from './context.js';
+import type { Job, Machine, Ms, Need, Placement } from './model.js';
+import { allowed, copies, domains, fits, placeGang, type Room, take, zoneAllows, zoneCounts } from './placement.js';
+import { type JobRecord, KEY, packBits } from './table.js';
+
+/** A share that this controller holds. */
+interface Held {
+  share: number;
+  stamp: number;
+  since: Ms;
+}
+
+/** Attempts carry the holding's stamp, so no two holders ever use the same one. */
+const ATTEMPTS_PER_HOLDING = 1_000_000;
+
+const taskKey = (job: string, index: number, attempt: number) => `${job}/${index}/${attempt}`;
+
+/** Decisions for the shares held here: what starts where, what stops, what is stored. */
+export class Owner {
+  readonly held = new Map<number, Held>();
+  private attempts = 1;
+  private wantPlan = true;
+  private lastTick: Ms = 0;
+  private readonly commands = new Map<number, { machine: Machine; sent: Placement[]; probe: boolean }>();
+  private readonly returns = new Map<number, Machine[]>();
+  private nextReturnAt: Ms = 0;
+  private readonly cutZones = new Set<number>();
+  /** what is left without room after the last plan */
+  private unmet: { job: Job; count: number; within: boolean }[] = [];
+  private now: Ms = 0;
+
+  constructor(private readonly cx: Context) {}
+
+  planSoon(): void {
+    this.wantPlan = true;
+  }
+
+  isMine(m: Machine): boolean {
+    return this.held.has(m.share);
+  }
+
+  mayAct(share: number, now: Ms): boolean {
+    return this.held.has(share) && this.cx.leaseValid(now);
+  }
+
+  // ---- holdings
+
+  gained(share: number, stamp: number, now: Ms): void {
+    this.held.set(share, { share, stamp, since: now });
+    for (const m of this.cx.table.machines.values()) if (m.share === share) this.resetMachine(m, now);
+    for (const j of this.cx.table.jobs.values()) if (j.share === share) this.resetJob(j);
+    this.wantPlan = true;
+  }
+
+  lost(share: number): void {
+    this.held.delete(share);
+    for (const m of this.cx.table.machines.values()) {
+      if (m.share !== share) continue;
+      m.placements.clear();
+      m.resolved = false;
+    }
+    for (const j of [...this.cx.table.jobs.values()]) {
+      if (j.share !== share) continue;
+      this.resetJob(j);
+      this.cx.table.dropFinal(j);
+    }
+  }
+
+  private resetMachine(m: Machine, now: Ms): void {
+    m.placements.clear();
+    m.strays = [];
+    m.resolved = false;
+    m.dirty = false;
+    m.bumping = false;
+    m.inflight = 0;
+    m.retryAt = 0;
+    m.session = 0;
+    m.seq = -1;
+    m.heardAt = now;
+    m.giveBack = '';
+    m.returning = false;
+    m.noticeUntil = -1;
+  }
+
+  private resetJob(j: Job): void {
+    j.placements.clear();
+    j.cursor = 0;
+    j.returned = [];
+    j.gangAttempt = 0;
+    j.gangFailed = false;
+    j.progressQueued = false;
+    j.finishQueued = false;
+  }
+
+  machineChanged(m: Machine, now: Ms): void {
+    if (m.share < 0) {
+      this.machineGone(m);
+      return;
+    }
+    if (this.held.has(m.share) && !m.resolved && m.seq < 0) m.heardAt = Math.max(m.heardAt, now);
+    this.wantPlan = true;
+  }
+
+  /** Left to another share, or gone from the grants: nothing of ours is on it. */
+  private machineGone(m: Machine): void {
+    for (const p of [...m.placements.values()]) this.free(p);
+    m.placements.clear();
+    this.wantPlan = true;
+  }
+
+  jobChanged(j: Job): void {
+    if (!this.held.has(j.share)) {
+      this.cx.table.dropFinal(j);
+      return;
+    }
+    if (j.state === 'cancelled') {
+      for (const p of [...j.placements.values()]) this.stop(p, 0);
+      this.cx.table.dropFinal(j);
+    }
+    if (j.state === 'done') this.cx.table.dropFinal(j);
+    this.wantPlan = true;
+  }
+
+  // ---- tasks and places
+
+  private place(job: Job, index: number, attempt: number, m: Machine, phase: Placement['phase'], now: Ms): Placement {
+    const p: Placement = {
+      job,
+      index,
+      attempt,
+      machine: m,
+      phase,
+      report: null,
+      plannedAt: now,
+      stop: null,
+      stopSentAt: -1e12,
+      stopSince: -1,
+      ranSince: -1,
+    };
+    job.placements.set(index, p);
+    m.placements.set(taskKey(job.spec.id, index, attempt), p);
+    return p;
+  }
+
+  /** The task is surely no longer on the machine. */
+  private free(p: Placement): void {
+    p.machine.placements.delete(taskKey(p.job.spec.id, p.index, p.attempt));
+    if (p.job.placements.get(p.index) === p) {
+      p.job.placements.delete(p.index);
+      if (!p.job.done[p.index]) p.job.returned.push(p.index);
+    }
+    if (p.machine.placements.size === 0) p.machine.idleSince = this.now;
+    const j = p.job;
+    if (j.spec.shape === 'gang' && j.gangAttempt !== 0) {
+      if (j.state === 'live' && j.doneCount < j.spec.tasks) this.failGang(j);
+      if (j.placements.size === 0) {
+        j.gangAttempt = 0;
+        j.gangFailed = false;
+      }
+    }
+    this.cx.table.dropFinal(j);
+    this.wantPlan = true;
+  }
+
+  /** A gang that lost a task is stopped whole and queued again. */
+  private failGang(j: Job): void {
+    if (j.gangFailed) return;
+    j.gangFailed = true;
+    for (const p of [...j.placements.values()]) if (p.phase !== 'exited') this.stop(p, 0);
+  }
+
+  private stop(p: Placement, graceS: number): void {
+    if (p.phase === 'planned') {
+      this.free(p);
+      return;
+    }
+    if (p.phase === 'exited') return;
+    if (p.stop === null || graceS < p.stop) {
+      p.stop = graceS;
+      p.stopSentAt = -1e12;
+    }
+  }
+
+  /** A checkpointing task gets time to save; others lose nothing by going at once. */
+  private graceOf(j: Job): number {
+    return j.spec.checkpointS > 0 ? j.spec.saveS + this.cx.settings.workers.gangPeerS : 0;
+  }
+
+  stopJob(j: Job): void {
+    for (const p of [...j.placements.values()]) this.stop(p, this.graceOf(j));
+  }
+
+  // ---- reports
+
+  /**
+   * Takes a worker's report. Reports can come late, so only one newer by (session, seq)
+   * counts. A start under way isn't refuted by a report: it may have been made before it.
+   */
+  observe(m: Machine, r: Report, now: Ms): void {
+    this.now = now;
+    if (r.session < m.session || (r.session === m.session && r.seq <= m.seq)) return;
+    m.heardAt = now;
+    if (m.giveBack === 'silent' && !m.returning) m.giveBack = '';
+    if (r.session > m.session) {
+      if (m.session > 0) {
+        // Its lease ran out: it has killed and forgotten everything. Starts sent to the
+        // old session can't be executed in the new one.
+        for (const p of [...m.placements.values()]) if (p.phase !== 'planned') this.free(p);
+      }
+      m.session = r.session;
+    }
+    m.seq = r.seq;
+    if (r.noticeS !== null && m.noticeUntil < 0) {
+      m.noticeUntil = now + r.noticeS * 1000;
+      this.cx.log('info', 'spot notice', { machine: m.name, seconds: r.noticeS });
+      this.vacate(m);
+    }
+    const seen = new Set<string>();
+    m.strays = [];
+    for (const t of r.tasks) {
+      const key = taskKey(t.job, t.index, t.attempt);
+      seen.add(key);
+      const p = m.placements.get(key) ?? this.adopt(m, t, now);
+      if (!p) {
+        m.strays.push(t);
+        continue;
+      }
+      this.taskSeen(p, t, now);
+    }
+    for (const [key, p] of [...m.placements]) {
+      if (!seen.has(key) && (p.phase === 'there' || p.phase === 'exited')) this.free(p);
+    }
+  }
+
+  /** A task found on a machine that we have no record of: an earlier holder's work. */
+  private adopt(m: Machine, t: TaskReport, now: Ms): Placement | null {
+    let job = this.cx.table.jobs.get(t.job);
+    if (!job) {
+      const record = this.cx.replica.get(KEY.job(t.job))?.value as JobRecord | undefined;
+      if (!record?.sp) return null;
+      job = this.cx.table.makeJob(record.sp);
+      job.state = record.s === 2 ? 'cancelled' : record.s === 1 ? 'done' : 'live';
+      job.stamp = this.cx.replica.get(KEY.job(t.job))?.stamp ?? 0;
+      this.cx.table.jobs.set(t.job, job);
+    }
+    if (job.share !== m.share || t.index >= job.spec.tasks) return null;
+    if (job.placements.has(t.index)) {
+      const other = job.placements.get(t.index) as Placement;
+      if (other.phase === 'planned') this.free(other);
+      else return null;
+    }
+    const p = this.place(job, t.index, t.attempt, m, 'there', now);
+    if (job.spec.shape === 'gang') {
+      if (job.gangAttempt === 0) job.gangAttempt = t.attempt;
+      if (job.gangAttempt !== t.attempt) this.failGang(job);
+      if (job.gangFailed) this.stop(p, 0);
+    }
+    if (job.state === 'cancelled') this.stop(p, 0);
+    return p;
+  }
+
+  private taskSeen(p: Placement, t: TaskReport, now: Ms): void {
+    const was = p.report?.state;
+    p.report = t;
+    const m = p.machine;
+    const j = p.job;
+    if (t.state !== 'exited') {
+      p.phase = 'there';
+      if (t.state === 'running' && was !== 'running') {
+        p.ranSince = now;
+        m.images.delete(j.image);
+        m.images.set(j.image, j.spec.imageGb);
+        this.trimImages(m);
+      }
+      return;
+    }
+    if (p.phase === 'exited') return;
+    p.phase = 'exited';
+    this.wantPlan = true;
+    if (t.why === 'done') {
+      if (p.ranSince >= 0) j.ranS = Math.max(j.ranS, (now - p.ranSince) / 1000);
+      m.errorJobs.clear();
+      this.markDone(j, p.index);
+      return;
+    }
+    if (t.why === 'error') this.taskFailed(p, now);
+    if (t.why === 'unknown') j.notBefore = now + 1000;
+    if (t.why === 'no_room') m.retryAt = Math.max(m.retryAt, now + 500);
+    if (t.why !== 'stopped') {
+      this.cx.log('debug', 'task ended', { task: `${j.spec.id}/${p.index}`, machine: m.name, why: t.why });
+    }
+    if (j.spec.shape === 'gang' && j.state === 'live' && j.doneCount < j.spec.tasks) this.failGang(j);
+  }
+
+  /** What the machine surely keeps: the most recently used images that fit its cache. */
+  private trimImages(m: Machine): void {
+    let sum = 0;
+    for (const gb of m.images.values()) sum += gb;
+    for (const [i, gb] of m.images) {
+      if (sum <= (m.cap?.cacheGb ?? 0)) break;
+      m.images.delete(i);
+      sum -= gb;
+    }
+  }
+
+  /** Faulty machines fail many jobs; bad jobs fail on many machines. */
+  private taskFailed(p: Placement, now: Ms): void {
+    const { job: j, machine: m } = p;
+    j.errorCount++;
+    j.errors.add(m.name);
+    const badJob = j.errors.size >= 3 && j.doneCount === 0;
+    if (badJob) {
+      j.notBefore = now + Math.min(60_000, 2000 * 2 ** Math.min(6, j.errors.size - 3));
+    } else {
+      m.errorJobs.add(j.spec.id);
+      if (j.spec.shape === 'gang') j.notBefore = now + 300;
+    }
+    this.cx.log('info', 'task failed', {
+      task: `${j.spec.id}/${p.index}`,
+      machine: m.name,
+      jobMachines: j.errors.size,
+      machineJobs: m.errorJobs.size,
+    });
+  }
+
+  private faulty(m: Machine): boolean {
+    return m.errorJobs.size >= 2;
+  }
+
+  private markDone(j: Job, index: number): void {
+    if (!j.done[index]) {
+      j.done[index] = 1;
+      j.doneCount++;
+    }
+    // A gang completes together: if one task is done, all are.
+    if (j.spec.shape === 'gang') {
+      j.done.fill(1);
+      j.doneCount = j.spec.tasks;
+    }
+    this.storeProgress(j);
+  }
+
+  // ---- storing
+
+  private also(share: number) {
+    return [{ key: KEY.holding(share), stamp: this.held.get(share)?.stamp ?? -1 }];
+  }
+
+  private storeProgress(j: Job): void {
+    const held = this.held.get(j.share);
+    if (!held || j.state !== 'live') return;
+    if (j.doneCount === j.spec.tasks && j.spec.shape !== 'service') {
+      if (j.finishQueued) return;
+      j.finishQueued = true;
+      this.cx.writer.add({
+        key: KEY.job(j.spec.id),
+        value: () => ({ s: 1, t: j.wall, n: j.spec.tasks }),
+        guard: j.stamp,
+        also: this.also(j.share),
+        urgency: 1,
+        done: () => {
+          j.finishQueued = false;
+          this.wantPlan = true;
+        },
+      });
+      return;
+    }
+    if (j.progressQueued) return;
+    const size = this.cx.table.chunk;
+    for (let k = 0; k * size < j.spec.tasks; k++) {
+      const to = Math.min(j.spec.tasks, (k + 1) * size);
+      let fresh = false;
+      for (let i = k * size; i < to && !fresh; i++) fresh = j.done[i] === 1 && j.stored[i] === 0;
+      if (!fresh) continue;
+      const key = KEY.progress(j.spec.id, k);
+      let snap = new Uint8Array(0);
+      j.progressQueued = true;
+      this.cx.writer.add({
+        key,
+        value: () => {
+          snap = j.done.slice(k * size, to);
+          return packBits(j.done, k * size, to);
+        },
+        guard: this.cx.replica.get(key)?.stamp ?? 0,
+        also: this.also(j.share),
+        urgency: 3,
+        done: (o) => {
+          j.progressQueued = false;
+          if (o === 'ok') for (let i = 0; i < snap.length; i++) if (snap[i]) j.stored[k * size + i] = 1;
+        },
+      });
+      return;
+    }
+  }
+
+  // ---- the tick
+
+  tick(now: Ms): void {
+    this.now = now;
+    // Time that this process itself lost says nothing about the workers.
+    const gap = now - this.lastTick;
+    if (this.lastTick > 0 && gap > 800) {
+      for (const m of this.cx.table.machines.values()) m.heardAt = Math.min(now, m.heardAt + gap - 300);
+    }
+    this.lastTick = now;
+    if (this.held.size === 0 || !this.cx.leaseValid(now)) return;
+    this.watchJobs(now);
+    this.watchMachines(now);
+    if (this.wantPlan && now - this.cx.freshAt < this.staleMs()) {
+      this.wantPlan = false;
+      this.plan(now);
+    }
+    for (const m of this.cx.table.machines.values()) if (this.held.has(m.share)) this.flush(m, now);
+  }
+
+  /** No starts for jobs whose state wasn't confirmed lately: a user may have cancelled them. */
+  private staleMs(): number {
+    return this.cx.settings.workers.cancelS * 1000 * 0.25;
+  }
+
+  private watchJobs(now: Ms): void {
+    for (const j of [...this.cx.table.jobs.values()]) {
+      if (!this.held.has(j.share)) continue;
+      if (j.state === 'live') this.storeProgress(j);
+      else this.cx.table.dropFinal(j);
+      if (j.spec.shape === 'gang' && j.gangAttempt !== 0 && !j.gangFailed) this.watchGang(j, now);
+      for (const p of [...j.placements.values()]) {
+        if (j.spec.shape !== 'gang' && p.phase === 'planned' && now - p.plannedAt > this.cx.settings.policy.planWaitS * 1000) {
+          this.free(p);
+        }
+        // Still saving long after it should have been done: end it.
+        if (p.stop !== null && p.stop > 0 && p.stopSince >= 0 && now - p.stopSince > (p.stop + 8) * 1000) this.stop(p, 0);
+      }
+    }
+  }
+
+  private watchGang(j: Job, now: Ms): void {
+    const all = [...j.placements.values()];
+    const planned = all.filter((p) => p.phase === 'planned');
+    if (planned.length > 0) {
+      if (now - (planned[0] as Placement).plannedAt > this.cx.settings.policy.planWaitS * 1000) {
+        this.cx.log('info', 'plan released', { job: j.spec.id });
+        for (const p of planned) this.free(p);
+      }
+      return;
+    }
+    // Found partly started after a takeover, with nowhere for the rest to be.
+    if (all.length < j.spec.tasks && j.doneCount < j.spec.tasks && !this.unproven(j)) this.failGang(j);
+  }
+
+  /** Where could a task of this job be, of those that nobody has reported? */
+  private unproven(j: Job): boolean {
+    const held = this.held.get(j.share);
+    if (!held || j.stamp > held.stamp) return false;
+    for (const m of this.cx.table.machines.values()) if (m.share === j.share && this.suspect(m, held)) return true;
+    return false;
+  }
+
+  /** May bear work of an earlier holder that we don't know of. */
+  private suspect(m: Machine, held: Held): boolean {
+    return !m.resolved && (m.grantStamp < held.stamp || m.seq >= 0);
+  }
+
+  // ---- machines
+
+  private watchMachines(now: Ms): void {
+    const silentMs = this.cx.settings.policy.silentS * 1000;
+    const zones = new Map<number, { all: number; heard: number }>();
+    for (const m of this.cx.table.machines.values()) {
+      if (!this.held.has(m.share)) continue;
+      const z = zones.get(m.zone) ?? { all: 0, heard: 0 };
+      z.all++;
+      if (now - m.heardAt < 4000) z.heard++;
+      zones.set(m.zone, z);
+    }
+    this.judgeZones(zones, now);
+    const back: Machine[] = [];
+    for (const m of this.cx.table.machines.values()) {
+      if (!this.held.has(m.share)) continue;
+      const silent = now - m.heardAt;
+      if (silent > silentMs && !m.giveBack && !this.heardElsewhere(m.name, now)) {
+        const cut = this.cutZones.has(m.zone);
+        // Cancelled work must be gone in time, whatever the reason for the silence.
+        const cancelled = [...m.placements.values()].some((p) => p.job.state === 'cancelled');
+        const limit = this.cx.settings.workers.cancelS * 1000 * 0.5;
+        if (!cut || (cancelled && silent > limit)) this.giveUp(m, cut ? 'silent with cancelled work' : 'silent');
+      }
+      if (m.giveBack === '' && this.empty(m) && m.resolved && !m.dirty) {
+        if (m.retire) this.giveUp(m, 'not needed');
+        else if (this.faulty(m)) this.giveUp(m, 'faulty');
+        else if (m.noticeUntil > 0) this.giveUp(m, 'spot notice');
+        else if (m.moveTo >= 0) this.handOver(m);
+      }
+      if ((m.moveTo >= 0 || m.retire) && m.giveBack === '') this.vacate(m);
+      if (m.giveBack && !m.returning && now >= m.returnAt) back.push(m);
+      if (m.dirty && !m.bumping && m.inflight === 0 && !m.giveBack) this.bump(m);
+    }
+    if (back.length > 0 && now >= this.nextReturnAt) {
+      const id = this.cx.nextId();
+      const some = back.slice(0, 50);
+      for (const m of some) m.returning = true;
+      this.returns.set(id, some);
+      this.nextReturnAt = now + 300;
+      this.cx.emit({ t: 'return', id, machines: some.map((m) => m.name) });
+    }
+  }
+
+  /**
+   * When a cut ends, workers need a moment to find their way back from the keeper that
+   * answered them meanwhile: until then their silence says nothing.
+   */
+  private judgeZones(zones: Map<number, { all: number; heard: number }>, now: Ms): void {
+    for (const [zone, z] of zones) {
+      if (this.zoneCut(zone, z, now)) this.cutZones.add(zone);
+      else if (this.cutZones.delete(zone)) {
+        for (const m of this.cx.table.machines.values()) if (m.zone === zone && this.held.has(m.share)) m.heardAt = now;
+      }
+    }
+  }
+
+  private heardElsewhere(name: string, now: Ms): boolean {
+    for (const p of this.cx.peers.values()) if (now - p.at < 5000 && p.status.heard.includes(name)) return true;
+    return false;
+  }
+
+  /** A zone whose machines are all silent, or most of them and its controllers too, is cut off. */
+  private zoneCut(zone: number, z: { all: number; heard: number }, now: Ms): boolean {
+    const name = this.cx.table.zoneNames.name(zone);
+    const { settings } = this.cx;
+    if (name === settings.zone) return z.all >= 3 && z.heard === 0;
+    const there = settings.nodes.filter((n) => n.zone === name && n.name !== settings.node);
+    if (there.length > 0) return there.every((n) => !this.cx.peerAlive(n.name, now)) && z.heard * 2 <= z.all;
+    return z.all >= 2 && z.heard === 0;
+  }
+
+  private giveUp(m: Machine, why: string): void {
+    m.giveBack = why;
+    m.returnAt = 0;
+    this.cx.log('info', 'giving machine back', { machine: m.name, why, tasks: m.placements.size });
+  }
+
+  private empty(m: Machine): boolean {
+    return m.placements.size === 0 && m.strays.length === 0 && m.inflight === 0;
+  }
+
+  private vacate(m: Machine): void {
+    for (const p of [...m.placements.values()]) {
+      if (p.phase === 'exited' || p.stop !== null) continue;
+      // Independent tasks may finish in the time of a notice; what has to move, moves now.
+      if (m.noticeUntil > 0 && p.job.spec.shape === 'array' && p.phase !== 'planned') continue;
+      if (p.job.spec.shape === 'gang') this.stopJob(p.job);
+      else this.stop(p, this.graceOf(p.job));
+    }
+  }
+
+  private handOver(m: Machine): void {
+    if (m.grantQueued) return;
+    m.grantQueued = true;
+    const to = m.moveTo;
+    this.cx.writer.add({
+      key: KEY.grant(m.name),
+      value: () => ({ ...this.cx.table.grantOf(m), s: to }),
+      guard: m.grantStamp,
+      also: this.also(m.share),
+      urgency: 1,
+      done: (o) => {
+        m.grantQueued = false;
+        if (o === 'ok') this.cx.log('debug', 'machine handed over', { machine: m.name, to });
+      },
+    });
+  }
+
+  /**
+   * Guards against a command that we gave up on and that is executed late: the worker
+   * takes nothing older once it has seen the higher token.
+   */
+  private bump(m: Machine): void {
+    if (m.grantQueued) return;
+    m.bumping = true;
+    m.grantQueued = true;
+    const n = m.grantStamp;
+    this.cx.writer.add({
+      key: KEY.grant(m.name),
+      value: () => {
+        const g = this.cx.table.grantOf(m);
+        if (m.moveTo >= 0) g.mv = m.moveTo;
+        if (m.retire) g.x = true;
+        g.n = n;
+        return g;
+      },
+      guard: m.grantStamp,
+      also: this.also(m.share),
+      urgency: 2,
+      done: (o) => {
+        m.grantQueued = false;
+        m.bumping = false;
+        if (o === 'ok') {
+          m.dirty = false;
+          m.resolved = false;
+        }
+      },
+    });
+  }
+
+  returned(id: number, ok: boolean, now: Ms): void {
+    const list = this.returns.get(id);
+    if (!list) return;
+    this.returns.delete(id);
+    for (const m of list) {
+      m.returning = false;
+      m.returnAt = now + 1500;
+      if (!ok || !this.held.has(m.share)) continue;
+      // 200: the machine and everything on it are gone.
+      m.returning = true;
+      m.resolved = true;
+      for (const p of [...m.placements.values()]) this.free(p);
+      this.dropGrant(m);
+    }
+  }
+
+  private dropGrant(m: Machine): void {
+    this.cx.writer.add({
+      key: KEY.grant(m.name),
+      value: () => undefined,
+      guard: m.grantStamp,
+      also: this.also(m.share),
+      urgency: 2,
+      done: (o) => {
+        if (o !== 'ok' && this.cx.table.machines.get(m.name) === m && this.held.has(m.share)) this.dropGrant(m);
+      },
+    });
+  }
+
+  // ---- commands
+
+  private flush(m: Machine, now: Ms): void {
+    if (m.inflight !== 0 || m.giveBack !== '' || m.addr === '' || now < m.retryAt || m.dirty || m.bumping) return;
+    if (!m.resolved) {
+      this.send(m, [], [], true, now);
+      return;
+    }
+    // Silent: ask, rather than wait for the next report.
+    if (now - m.heardAt > this.cx.settings.workers.reportS * 2000) {
+      this.send(m, [], [], true, now);
+      return;
+    }
+    const cmds: Command[] = [];
+    const started: Placement[] = [];
+    const free: Need = m.cap ? { cpus: m.cap.cpus, gpus: m.cap.gpus, memory: m.cap.memory } : { cpus: 0, gpus: 0, memory: 0 };
+    for (const t of m.strays) {
+      if (t.state === 'exited') cmds.push({ op: 'forget', job: t.job, index: t.index, attempt: t.attempt });
+      else cmds.push({ op: 'stop', job: t.job, index: t.index, attempt: t.attempt, graceS: 0 });
+    }
+    for (const p of m.placements.values()) {
+      const id = { job: p.job.spec.id, index: p.index, attempt: p.attempt };
+      if (p.phase === 'exited') {
+        const kept = p.report?.why === 'done' && p.job.state === 'live' && !p.job.stored[p.index];
+        if (!kept) cmds.push({ op: 'forget', ...id });
+        continue;
+      }
+      if (p.phase === 'planned') continue;
+      if (p.stop !== null && now - p.stopSentAt > 4000) {
+        cmds.push({ op: 'stop', ...id, graceS: p.stop });
+        p.stopSentAt = now;
+        if (p.stopSince < 0) p.stopSince = now;
+      }
+      // What is told to go without saving is gone before the next command.
+      if (p.stop !== 0) take(free, p.job.need);
+    }
+    if (now - this.cx.freshAt < this.staleMs()) {
+      for (const p of m.placements.values()) {
+        if (p.phase !== 'planned' || cmds.length > 60) continue;
+        if (p.job.spec.shape === 'gang' ? !this.gangReady(p.job) : !fits(p.job.need, free)) continue;
+        take(free, p.job.need);
+        cmds.push({ op: 'start', job: p.job.spec.id, index: p.index, attempt: p.attempt });
+        started.push(p);
+      }
+    }
+    if (cmds.length > 0) this.send(m, cmds, started, false, now);
+  }
+
+  /** Starts go out once every member has room in the held plan. */
+  private gangReady(j: Job): boolean {
+    if (j.gangFailed || j.placements.size < j.spec.tasks) return false;
+    for (const p of j.placements.values()) {
+      if (p.phase !== 'planned') continue;
+      const m = p.machine;
+      if (!m.resolved || m.dirty || !m.cap) return false;
+      const free: Need = { cpus: m.cap.cpus, gpus: m.cap.gpus, memory: m.cap.memory };
+      for (const q of m.placements.values()) if (q.phase === 'sent' || q.phase === 'there') take(free, q.job.need);
+      for (const q of m.placements.values()) if (q.phase === 'planned' && q.job === j) take(free, j.need);
+      if (free.cpus < -1e-6 || free.gpus < -1e-6 || free.memory < -1e-6) return false;
+    }
+    return true;
+  }
+
+  private send(m: Machine, commands: Command[], sent: Placement[], probe: boolean, now: Ms): void {
+    const id = this.cx.nextId();
+    // Marked before anything leaves: from here on the tasks may be there.
+    for (const p of sent) p.phase = 'sent';
+    m.inflight = id;
+    m.inflightAt = now;
+    this.commands.set(id, { machine: m, sent, probe });
+    this.cx.emit({
+      t: 'command',
+      id,
+      machine: m.name,
+      addr: m.addr,
+      token: this.cx.table.token(m),
+      session: m.session > 0 ? m.session : 1,
+      commands,
+    });
+  }
+
+  /** `lost`: the command may be executed yet; `refused`: it never left. */
+  commandResult(id: number, r: { kind: 'ok' | 'stale'; report: Report | null } | { kind: 'lost' | 'refused' }, now: Ms): void {
+    const c = this.commands.get(id);
+    if (!c) return;
+    this.commands.delete(id);
+    const m = c.machine;
+    if (m.inflight !== id) return;
+    m.inflight = 0;
+    this.wantPlan = true;
+    if (!this.held.has(m.share)) return;
+    if (r.kind === 'ok') {
+      if (r.report) this.observe(m, r.report, now);
+      for (const p of c.sent) {
+        if (p.phase === 'sent' && p.machine === m && m.placements.get(taskKey(p.job.spec.id, p.index, p.attempt)) === p)
+          this.free(p);
+      }
+      if (c.probe && !m.resolved) {
+        m.resolved = true;
+        // Under the new token nothing older can start any more: what the report lacks isn't there.
+        for (const p of [...m.placements.values()]) if (p.phase === 'sent') this.free(p);
+      }
+      return;
+    }
+    if (r.kind === 'stale') {
+      for (const p of c.sent) if (p.phase === 'sent') p.phase = 'planned';
+      if (r.report) {
+        this.observe(m, r.report, now);
+        if (r.report.token > this.cx.table.token(m)) m.retryAt = now + 1000;
+      }
+      return;
+    }
+    m.retryAt = now + 700;
+    if (r.kind === 'refused') {
+      for (const p of c.sent) if (p.phase === 'sent') p.phase = 'planned';
+      for (const p of m.placements.values()) p.stopSentAt = -1e12;
+      return;
+    }
+    for (const p of m.placements.values()) p.stopSentAt = -1e12;
+    // An empty probe that is executed late does nothing.
+    if (!c.probe) m.dirty = true;
+  }
+
+  // ---- planning
+
+  private usable(m: Machine, now: Ms): boolean {
+    return (
+      m.resolved &&
+      !m.dirty &&
+      m.cap !== null &&
+      m.moveTo < 0 &&
+      !m.retire &&
+      m.giveBack === '' &&
+      m.noticeUntil < 0 &&
+      !this.faulty(m) &&
+      now - m.heardAt < this.cx.settings.workers.reportS * 2500
+    );
+  }
+
+  private roomOf(m: Machine): Room {
+    const r: Room = { machine: m, cpus: m.cap?.cpus ?? 0, gpus: m.cap?.gpus ?? 0, memory: m.cap?.memory ?? 0 };
+    for (const p of m.placements.values()) if (p.phase !== 'exited') take(r, p.job.need);
+    return r;
+  }
+
+  /** Everything of each team that is, or may be, on a machine. */
+  private teamUse(): { cpus: number; gpus: number }[] {
+    const use = this.cx.settings.teams.map(() => ({ cpus: 0, gpus: 0 }));
+    for (const j of this.cx.table.jobs.values()) {
+      const u = use[j.team];
+      if (!u || !this.held.has(j.share)) continue;
+      for (const p of j.placements.values()) {
+        if (p.phase === 'exited') continue;
+        u.cpus += j.spec.cpus;
+        u.gpus += j.spec.gpus;
+      }
+    }
+    // Any team of the share may have work on a machine that hasn't answered yet.
+    for (const m of this.cx.table.machines.values()) {
+      const held = this.held.get(m.share);
+      if (!held || !this.suspect(m, held)) continue;
+      for (let t = 0; t < use.length; t++) {
+        if (this.cx.table.teamShare[t] !== m.share) continue;
+        (use[t] as Need).cpus += m.cap?.cpus ?? 0;
+        (use[t] as Need).gpus += m.cap?.gpus ?? 0;
+      }
+    }
+    return use;
+  }
+
+  /**
+   * Which jobs are within their team's guarantee, and which are protected by it: a team
+   * without a guarantee in what a job uses has nothing to protect it with.
+   */
+  private guarantees(): Map<Job, { within: boolean; firm: boolean }> {
+    const out = new Map<Job, { within: boolean; firm: boolean }>();
+    const sums = this.cx.settings.teams.map(() => ({ cpus: 0, gpus: 0 }));
+    const jobs = [...this.cx.table.jobs.values()]
+      .filter((j) => j.state === 'live' && this.held.has(j.share))
+      .sort((a, b) => a.stamp - b.stamp);
+    for (const j of jobs) {
+      const t = this.cx.settings.teams[j.team];
+      const s = sums[j.team];
+      if (!t || !s) continue;
+      const left = j.spec.tasks - (j.spec.shape === 'array' ? j.doneCount : 0);
+      s.cpus += j.spec.cpus * left;
+      s.gpus += j.spec.gpus * left;
+      const cpusOk = t.cpus <= 0 || s.cpus <= t.cpus + 1e-6;
+      const gpusOk = t.gpus <= 0 || s.gpus <= t.gpus + 1e-6;
+      const within = cpusOk && gpusOk;
+      const guarded = (t.cpus > 0 && j.spec.cpus > 0) || (t.gpus > 0 && j.spec.gpus > 0);
+      out.set(j, { within, firm: within && guarded });
+    }
+    return out;
+  }
+
+  private dueOf(j: Job): number {
+    let due = Number.POSITIVE_INFINITY;
+    for (const o of this.cx.settings.objectives) {
+      if (o.cls === j.spec.cls && (o.kind === 'wait' || o.kind === 'finished') && o.withinS !== null)
+        due = Math.min(due, o.withinS);
+    }
+    if (due === Number.POSITIVE_INFINITY) due = j.spec.deadlineS ?? 600;
+    return j.arrivedAt + due * 1000;
+  }
+
+  private plan(now: Ms): void {
+    const rooms: Room[] = [];
+    for (const m of this.cx.table.machines.values())
+      if (this.held.has(m.share) && this.usable(m, now)) rooms.push(this.roomOf(m));
+    const use = this.teamUse();
+    const guar = this.guarantees();
+    const queue = [...this.cx.table.jobs.values()]
+      .filter((j) => this.held.has(j.share) && j.state === 'live' && j.pendingCount() > 0)
+      .map((j) => ({ j, g: guar.get(j) ?? { within: false, firm: false }, due: this.dueOf(j) }))
+      .sort(
+        (a, b) =>
+          b.j.spec.rank - a.j.spec.rank || Number(b.g.within) - Number(a.g.within) || a.due - b.due || a.j.stamp - b.j.stamp,
+      );
+    this.unmet = [];
+    let later = false;
+    for (const { j, g } of queue) {
+      if (now < j.notBefore) {
+        later = true;
+        continue;
+      }
+      if (this.unproven(j)) continue;
+      const mine = rooms.filter((r) => r.machine.share === j.share && allowed(j, r.machine) && !j.errors.has(r.machine.name));
+      const left =
+        j.spec.shape === 'gang'
+          ? this.planGang(j, g.within, mine, use, guar, now)
+          : this.planTasks(j, g.within, mine, use, guar, now);
+      if (left > 0) this.unmet.push({ job: j, count: left, within: g.within });
+    }
+    if (later) this.wantPlan = true;
+  }
+
+  private quotaLeft(j: Job, use: { cpus: number; gpus: number }[]): number {
+    const t = this.cx.settings.teams[j.team];
+    const u = use[j.team];
+    if (!t || !u) return 0;
+    let n = j.spec.tasks;
+    if (t.cpusMax > 0 && j.spec.cpus > 0) n = Math.min(n, Math.floor((t.cpusMax - u.cpus + 1e-6) / j.spec.cpus));
+    if (t.gpusMax > 0 && j.spec.gpus > 0) n = Math.min(n, Math.floor((t.gpusMax - u.gpus + 1e-6) / j.spec.gpus));
+    return Math.max(0, n);
+  }
+
+  private attempt(share: number): number {
+    return (this.held.get(share)?.stamp ?? 0) * ATTEMPTS_PER_HOLDING + this.attempts++;
+  }
+
+  /** Larger is better: the image at hand first, scarce kinds of room last. */
+  private preference(j: Job, r: Room): number {
+    let s = 0;
+    if (r.machine.images.has(j.image)) s += 4;
+    else for (const p of r.machine.placements.values()) if (p.job.image === j.image && p.phase === 'there') s = 2;
+    const cap = r.machine.cap;
+    if (j.spec.gpus === 0 && (cap?.gpus ?? 0) > 0) s -= r.machine.spot ? 1 : 3;
+    if (r.machine.spot && j.spec.shape === 'array') s += 0.5;
+    return s;
+  }
+
+  private planTasks(
+    j: Job,
+    within: boolean,
+    rooms: Room[],
+    use: { cpus: number; gpus: number }[],
+    guar: Map<Job, { within: boolean; firm: boolean }>,
+    now: Ms,
+  ): number {
+    let left = j.pendingCount();
+    const quota = this.quotaLeft(j, use);
+    let can = Math.min(left, quota);
+    const unplaceable = left - can;
+    const counts = zoneCounts(j);
+    const order = rooms.map((r) => ({ r, s: this.preference(j, r) })).sort((a, b) => b.s - a.s || a.r.cpus - b.r.cpus);
+    while (can > 0) {
+      let best: { r: Room; s: number } | null = null;
+      for (const o of order) {
+        if (fits(j.need, o.r) && zoneAllows(j, counts, o.r.machine.zone)) {
+          best = o;
+          break;
+        }
+      }
+      // A service that would wait for its image takes a cached place from lesser work.
+      let room: Room | null = best?.r ?? null;
+      if (j.spec.shape === 'service' && (!best || best.s < 4)) {
+        const cached = rooms.filter((r) => (!best || r.machine.images.has(j.image)) && zoneAllows(j, counts, r.machine.zone));
+        room = this.evictFor(j, within, cached, guar, now) ?? room;
+      } else if (!room) {
+        room = this.evictFor(
+          j,
+          within,
+          rooms.filter((r) => zoneAllows(j, counts, r.machine.zone)),
+          guar,
+          now,
+        );
+      }
+      if (!room) break;
+      const index = j.nextPending();
+      if (index < 0) break;
+      take(room, j.need);
+      this.place(j, index, this.attempt(j.share), room.machine, 'planned', now);
+      this.addUse(use, j);
+      counts.set(room.machine.zone, (counts.get(room.machine.zone) ?? 0) + 1);
+      can--;
+      left--;
+    }
+    return left - unplaceable;
+  }
+
+  private addUse(use: { cpus: number; gpus: number }[], j: Job): void {
+    const u = use[j.team];
+    if (!u) return;
+    u.cpus += j.spec.cpus;
+    u.gpus += j.spec.gpus;
+  }
+
+  /** May this placement be stopped for a job of that rank? (DESIGN: above guarantee; PROTOCOL: rank) */
+  private victim(p: Placement, j: Job, within: boolean, guar: Map<Job, { within: boolean; firm: boolean }>): boolean {
+    if (p.stop !== null || p.phase === 'exited' || p.job === j) return false;
+    const g = guar.get(p.job);
+    if (g?.firm) return false;
+    if (p.job.spec.rank < j.spec.rank) return true;
+    return within && p.job.team !== j.team && g !== undefined && !g.within;
+  }
+
+  private cost(p: Placement, now: Ms): number {
+    const ran = p.ranSince >= 0 ? (now - p.ranSince) / 1000 : 0;
+    return p.job.spec.rank * 1000 + (p.phase === 'planned' ? -1 : ran) + (p.job.spec.shape === 'gang' ? 500 : 0);
+  }
+
+  /** The least work to stop on one machine so that a task of the job fits, or null. */
+  private victimsOn(
+    j: Job,
+    within: boolean,
+    r: Room,
+    guar: Map<Job, { within: boolean; firm: boolean }>,
+    now: Ms,
+    count = 1,
+  ): Placement[] | null {
+    const need: Need = { cpus: j.spec.cpus * count, gpus: j.spec.gpus * count, memory: j.spec.memory * count };
+    const free: Need = { cpus: r.cpus, gpus: r.gpus, memory: r.memory };
+    const out: Placement[] = [];
+    const list = [...r.machine.placements.values()]
+      .filter((p) => this.victim(p, j, within, guar))
+      .sort((a, b) => this.cost(a, now) - this.cost(b, now));
+    for (const p of list) {
+      if (fits(need, free)) break;
+      out.push(p);
+      free.cpus += p.job.spec.cpus;
+      free.gpus += p.job.spec.gpus;
+      free.memory += p.job.spec.memory;
+    }
+    return fits(need, free) ? out : null;
+  }
+
+  private evictFor(
+    j: Job,
+    within: boolean,
+    rooms: Room[],
+    guar: Map<Job, { within: boolean; firm: boolean }>,
+    now: Ms,
+  ): Room | null {
+    let best: { r: Room; v: Placement[]; c: number } | null = null;
+    for (const r of rooms) {
+      const v = this.victimsOn(j, within, r, guar, now);
+      if (!v) continue;
+      const c = v.reduce((a, p) => a + this.cost(p, now), 0) - 100 * this.preference(j, r);
+      if (!best || c < best.c) best = { r, v, c };
+    }
+    if (!best) return null;
+    this.evict(best.v, best.r);
+    return best.r;
+  }
+
+  private evict(victims: Placement[], r: Room): void {
+    for (const p of victims) {
+      r.cpus += p.job.spec.cpus;
+      r.gpus += p.job.spec.gpus;
+      r.memory += p.job.spec.memory;
+      // A gang is stopped whole.
+      if (p.job.spec.shape === 'gang') this.stopJob(p.job);
+      else this.stop(p, this.graceOf(p.job));
+    }
+  }
+
+  private planGang(
+    j: Job,
+    within: boolean,
+    rooms: Room[],
+    use: { cpus: number; gpus: number }[],
+    guar: Map<Job, { within: boolean; firm: boolean }>,
+    now: Ms,
+  ): number {
+    const n = j.spec.tasks;
+    if (j.gangAttempt !== 0 || j.placements.size > 0) return 0;
+    if (this.quotaLeft(j, use) < n) return 0;
+    let spots = placeGang(j, n, rooms, (r) => this.preference(j, r));
+    if (!spots) {
+      // By layers again, with what may be stopped taken as free; the domain with the least to stop wins.
+      for (const layer of [0, 1, 2] as const) {
+        if (layer === 2 && j.spec.oneZone) continue;
+        for (const domain of domains(rooms, layer)) {
+          const widened = domain.map((r) => {
+            const w = { ...r };
+            for (const p of r.machine.placements.values()) {
+              if (!this.victim(p, j, within, guar)) continue;
+              w.cpus += p.job.spec.cpus;
+              w.gpus += p.job.spec.gpus;
+              w.memory += p.job.spec.memory;
+            }
+            return w;
+          });
+          const costs = new Map(
+            domain.map((r) => [
+              r.machine,
+              this.victimsOn(j, within, r, guar, now)?.reduce((a, p) => a + this.cost(p, now), 0) ?? 1e9,
+            ]),
+          );
+          spots = placeGang(j, n, widened, (r) => -(costs.get(r.machine) ?? 0));
+          if (spots) break;
+        }
+        if (spots) break;
+      }
+      if (!spots) return n;
+      const per = new Map<Machine, number>();
+      for (const m of spots) per.set(m, (per.get(m) ?? 0) + 1);
+      for (const [m, c] of per) {
+        const r = rooms.find((x) => x.machine === m);
+        if (!r) return n;
+        const v = this.victimsOn(j, within, r, guar, now, c);
+        if (!v) return n;
+        this.evict(v, r);
+      }
+    }
+    j.gangAttempt = this.attempt(j.share);
+    j.gangFailed = false;
+    const pending = j.allPending();
+    spots.forEach((m, i) => {
+      const r = rooms.find((x) => x.machine === m);
+      if (r) take(r, j.need);
+      this.place(j, pending[i] as number, j.gangAttempt, m, 'planned', now);
+      this.addUse(use, j);
+    });
+    return 0;
+  }
+
+  // ---- what others are told
+
+  share(share: number, now: Ms): PeerShare {
+    const guar = this.guarantees();
+    const machines: PeerMachine[] = [];
+    for (const m of this.cx.table.machines.values()) {
+      if (m.share !== share) continue;
+      const r = this.roomOf(m);
+      let firmRank = -1;
+      for (const p of m.placements.values()) {
+        if (p.phase === 'exited') continue;
+        firmRank = Math.max(firmRank, guar.get(p.job)?.firm ? 9 : p.job.spec.rank);
+      }
+      if (!this.usable(m, now)) firmRank = 9;
+      machines.push({
+        name: m.name,
+        freeCpus: Math.max(0, r.cpus),
+        freeGpus: Math.max(0, r.gpus),
+        freeMemory: Math.max(0, r.memory),
+        tasks: m.placements.size,
+        firmRank,
+        idleS: m.placements.size === 0 ? (now - m.idleSince) / 1000 : 0,
+      });
+    }
+    const demands: PeerDemand[] = [];
+    for (const u of this.unmet) {
+      if (u.job.share !== share || demands.length >= 24) continue;
+      const s = u.job.spec;
+      demands.push({
+        cpus: s.cpus,
+        gpus: s.gpus,
+        memory: s.memory,
+        types: s.types ?? [],
+        zone: s.zone ?? '',
+        spot: s.spot,
+        rank: s.rank,
+        within: u.within,
+        count: u.count,
+        gang: s.shape === 'gang',
+        waitS: (now - u.job.arrivedAt) / 1000,
+      });
+    }
+    return { share, machines, demands };
+  }
+
+  running(): { job: string; count: number; done: number }[] {
+    const out: { job: string; count: number; done: number }[] = [];
+    for (const j of this.cx.table.jobs.values()) {
+      if (!this.held.has(j.share)) continue;
+      let count = 0;
+      for (const p of j.placements.values()) if (p.phase === 'there' && p.report?.state === 'running') count++;
+      if (count > 0 || j.doneCount > 0) out.push({ job: j.spec.id, count, done: j.doneCount });
+    }
+    return out;
+  }
+
+  copiesFree(m: Machine, need: Need): number {
+    return copies(need, this.roomOf(m));
+  }
+}
--- /dev/null
+++ b/packages/core/src/writer.ts
@@ -0,0 +1,164 @@
+import type { Guard, Write } from '@archpost/wire';
+import type { Effect, Ms } from './model.js';
+import type { Replica } from './replica.js';
+
+export interface PendingWrite {
+  key: string;
+  /** evaluated when sent; undefined removes the key */
+  value: () => unknown;
+  /** stamp that the key must still have; 0: must not exist */
+  guard: number;
+  also?: Guard[];
+  /** attached to our state lease */
+  leased?: boolean;
+  /** smaller goes first */
+  urgency: number;
+  /** dropped unsent after this time */
+  until?: Ms;
+  done: (outcome: 'ok' | 'conflict' | 'dropped', stamp: number) => void;
+}
+
+interface Queued extends PendingWrite {
+  /** an earlier send got no answer: it may be applied yet, or be applied already */
+  uncertain: boolean;
+  sentValue: unknown;
+}
+
+/**
+ * Groups writes into transactions within the budget. A transaction without an answer is
+ * sent again with the same guards: whichever copy comes first wins and the other fails, so
+ * a late copy can't undo anything. When the second copy fails, what the key holds tells
+ * whether the first was applied.
+ */
+export class Writer {
+  private queue: Queued[] = [];
+  private readonly inflight = new Map<number, Queued[]>();
+  private nextId = 1;
+  private budget: number;
+  private budgetAt: Ms = 0;
+  private pauseUntil: Ms = 0;
+  private readonly busy = new Set<string>();
+
+  constructor(
+    private readonly limits: { writesPerS: number; txnOps: number },
+    private readonly replica: Replica,
+    private readonly emit: (e: Effect) => void,
+    private readonly lease: () => number | null,
+    private readonly afterBarrier: (now: Ms, run: (now: Ms) => void) => void,
+    private readonly leaseGone: () => void,
+  ) {
+    this.budget = limits.writesPerS;
+  }
+
+  get length(): number {
+    return this.queue.length;
+  }
+
+  add(w: PendingWrite): void {
+    this.queue.push({ ...w, uncertain: false, sentValue: undefined });
+  }
+
+  flush(now: Ms): void {
+    this.budget = Math.min(
+      Math.max(this.limits.writesPerS, 4),
+      this.budget + ((now - this.budgetAt) / 1000) * this.limits.writesPerS,
+    );
+    this.budgetAt = now;
+    for (const w of this.queue) if (w.until !== undefined && now > w.until && !w.uncertain) w.done('dropped', 0);
+    this.queue = this.queue.filter((w) => w.until === undefined || now <= w.until || w.uncertain);
+    if (now < this.pauseUntil) return;
+    while (this.queue.length > 0 && this.inflight.size < 3 && this.budget >= 1) {
+      this.queue.sort((a, b) => a.urgency - b.urgency);
+      const batch: Queued[] = [];
+      const rest: Queued[] = [];
+      const keys = new Set<string>();
+      const guards = new Map<string, number>();
+      let bytes = 0;
+      for (const w of this.queue) {
+        const wanted = [{ key: w.key, stamp: w.guard }, ...(w.also ?? [])];
+        const fits =
+          batch.length < Math.min(this.limits.txnOps, this.budget) &&
+          !keys.has(w.key) &&
+          !this.busy.has(w.key) &&
+          bytes < 40_000 &&
+          guards.size + wanted.length <= 3 * this.limits.txnOps &&
+          wanted.every((g) => (guards.get(g.key) ?? g.stamp) === g.stamp) &&
+          !(w.leased && this.lease() === null);
+        if (!fits) {
+          rest.push(w);
+          continue;
+        }
+        w.sentValue = w.value();
+        bytes += w.sentValue === undefined ? 0 : JSON.stringify(w.sentValue).length;
+        keys.add(w.key);
+        for (const g of wanted) guards.set(g.key, g.stamp);
+        batch.push(w);
+      }
+      if (batch.length === 0) return;
+      this.queue = rest;
+      this.budget -= batch.length;
+      const id = this.nextId++;
+      this.inflight.set(id, batch);
+      for (const k of keys) this.busy.add(k);
+      const lease = this.lease();
+      this.emit({
+        t: 'txn',
+        id,
+        guards: [...guards].map(([key, stamp]) => ({ key, stamp })),
+        writes: batch.map((w): Write => {
+          if (w.sentValue === undefined) return { del: w.key };
+          return w.leased && lease !== null ? { put: w.key, value: w.sentValue, lease } : { put: w.key, value: w.sentValue };
+        }),
+      });
+    }
+  }
+
+  result(
+    id: number,
+    r:
+      | { kind: 'ok'; revision: number }
+      | { kind: 'failed'; keys: string[] }
+      | { kind: 'refused' }
+      | { kind: 'noLease' }
+      | { kind: 'unknown' },
+    now: Ms,
+  ): void {
+    const batch = this.inflight.get(id);
+    if (!batch) return;
+    this.inflight.delete(id);
+    for (const w of batch) this.busy.delete(w.key);
+    if (r.kind === 'ok') {
+      for (const w of batch) {
+        if (w.sentValue === undefined) this.replica.remove(w.key, r.revision);
+        else this.replica.set(w.key, w.sentValue, r.revision);
+      }
+      for (const w of batch) w.done('ok', r.revision);
+    } else if (r.kind === 'failed') {
+      const failed = new Set(r.keys);
+      for (const w of batch) {
+        const hit = failed.has(w.key) || (w.also ?? []).some((g) => failed.has(g.key));
+        if (hit) this.afterBarrier(now, () => this.conflict(w));
+        else this.queue.push(w);
+      }
+      // Should the answer name no key of ours, retrying at once would spin.
+      if (failed.size === 0) this.pauseUntil = now + 200;
+    } else {
+      if (r.kind === 'noLease') this.leaseGone();
+      else this.pauseUntil = now + 300;
+      for (const w of batch) {
+        if (r.kind === 'unknown') w.uncertain = true;
+        if (r.kind === 'noLease' && w.leased) w.done('conflict', 0);
+        else this.queue.push(w);
+      }
+    }
+    this.flush(now);
+  }
+
+  private conflict(w: Queued): void {
+    const e = this.replica.get(w.key);
+    const same =
+      w.uncertain &&
+      (w.sentValue === undefined ? e === null : e !== null && JSON.stringify(e.value) === JSON.stringify(w.sentValue));
+    w.done(same ? 'ok' : 'conflict', e?.stamp ?? 0);
+  }
+}
--- /dev/null
+++ b/packages/server/src/service.ts
@@ -0,0 +1,121 @@
+import { randomUUID } from 'node:crypto';
+import { Api, type Request } from '@archpost/api';
+import { Cloud } from '@archpost/cloud';
+import { Core, type Effect } from '@archpost/core';
+import { Peers } from '@archpost/peers';
+import { StateStore } from '@archpost/store';
+import { splitAddr, steady } from '@archpost/transport';
+import { Workers } from '@archpost/workers';
+import type { Logger } from 'pino';
+import { interval } from 'rxjs';
+import { Inbox } from './inbox.js';
+import type { Settings } from './settings.js';
+
+const TICK_MS = 100;
+
+/** Wires the core to its edges: inputs in, effects out. */
+export class Service {
+  private readonly core: Core;
+  private readonly store: StateStore;
+  private readonly cloud: Cloud;
+  private readonly workers: Workers;
+  private readonly peers: Peers;
+  private readonly api: Api;
+  private readonly inbox: Inbox;
+
+  constructor(
+    private readonly settings: Settings,
+    private readonly log: Logger,
+  ) {
+    const c = settings.core;
+    const nodes = c.nodes.length;
+    this.core = new Core(c, randomUUID().slice(0, 8));
+    this.inbox = new Inbox(steady, () => this.carryOut(), 1500);
+    // Half of the time a cancellation has: rides out outages, leaves time to take over.
+    const ttlMs = Math.round(Math.min(600, Math.max(1, c.workers.cancelS / 2)) * 1000);
+    this.store = new StateStore(settings.state, 'a/', (c.state.rps * 0.9) / nodes, ttlMs, 0.002);
+    this.cloud = new Cloud(settings.cloud, (c.cloud.rps * 0.9) / nodes);
+    this.workers = new Workers(Math.floor(settings.maxSockets / 3));
+    this.peers = new Peers(settings.others);
+    this.api = new Api(
+      (r) => this.request(r),
+      () => this.core.ready,
+    );
+  }
+
+  async start(): Promise<void> {
+    const { core, inbox } = this;
+    this.store.loaded$.subscribe((e) => inbox.decision(() => core.loaded(e.rows, e.revision, steady())));
+    this.store.changes$.subscribe((e) => inbox.decision(() => core.changes(e.changes, e.revision, e.asOf, steady())));
+    this.store.lease$.subscribe((e) => inbox.decision(() => core.leaseState(e.permit, e.validUntil, steady())));
+    this.peers.status$.subscribe((s) => inbox.decision(() => core.peerStatus(s, steady())));
+    this.peers.down$.subscribe((n) => inbox.decision(() => core.peerDown(n, steady())));
+    this.store.start();
+    const peer = splitAddr(this.settings.peerListen);
+    await this.peers.listen(peer.host, peer.port);
+    this.peers.start();
+    const pub = splitAddr(this.settings.publicAddr);
+    await this.api.listen(pub.host, pub.port);
+    interval(TICK_MS).subscribe(() => inbox.decision(() => core.tick(steady())));
+    this.log.info({ node: this.settings.core.node, addr: this.settings.publicAddr }, 'started');
+  }
+
+  private request(r: Request): void {
+    const { core, inbox } = this;
+    if (r.kind === 'report') {
+      inbox.report(() => core.report(r.id, r.report, steady()));
+      return;
+    }
+    inbox.request(
+      () => {
+        if (r.kind === 'submit') core.submit(r.id, r.body, steady(), Date.now());
+        else if (r.kind === 'poll') core.poll(r.id, r.job, steady());
+        else core.cancel(r.id, r.job, steady());
+      },
+      () => this.api.answer(r.id, 503, { error: 'overloaded' }, 1),
+    );
+  }
+
+  private carryOut(): void {
+    for (const e of this.core.drain()) this.effect(e);
+  }
+
+  private effect(e: Effect): void {
+    const { core, inbox } = this;
+    const back = (run: () => void) => inbox.decision(run);
+    switch (e.t) {
+      case 'answer':
+        this.api.answer(e.id, e.status, e.body, e.retryAfterS);
+        break;
+      case 'barrier':
+        this.store.barrier();
+        break;
+      case 'txn':
+        void this.store.txn(e.guards, e.writes).then((r) => back(() => core.txnResult(e.id, r, steady())));
+        break;
+      case 'command':
+        void this.workers
+          .command(e.addr, e.token, e.session, e.commands)
+          .then((r) => back(() => core.commandResult(e.id, r, steady())));
+        break;
+      case 'rent':
+        void this.cloud.rent(e.rental).then((r) => back(() => core.rented(e.id, r, steady())));
+        break;
+      case 'return':
+        void this.cloud.giveBack(e.machines).then((ok) => back(() => core.returned(e.id, ok, steady())));
+        break;
+      case 'list':
+        void this.cloud.list().then((l) => back(() => core.listed(l, steady())));
+        break;
+      case 'types':
+        void this.cloud.types().then((l) => back(() => core.types(l, steady())));
+        break;
+      case 'status':
+        this.peers.send(e.status);
+        break;
+      case 'log':
+        this.log[e.level](e.data ?? {}, e.msg);
+        break;
+    }
+  }
+}
--- /dev/null
+++ b/packages/server/src/settings.ts
@@ -0,0 +1,162 @@
+import { readFileSync } from 'node:fs';
+import type { CoreSettings, Policy } from '@archpost/core';
+import { parse } from 'smol-toml';
+import { z } from 'zod';
+
+export class SettingsError extends Error {}
+
+const text = z.string().min(1);
+const addr = z.string().regex(/^[0-9.]+:\d{1,5}$/, 'must be an address such as 10.0.0.1:8080');
+const positive = z.number().positive();
+const amount = z.number().min(0);
+
+const file = z.object({
+  host_name: text,
+  location: text,
+  public_addr: addr,
+  peer_listen: addr,
+  others: z.array(z.object({ host_name: text, location: text, peer_addr: addr })).default([]),
+  external: z.object({ cloud: addr, state: addr }),
+  params: z.object({
+    initial_size: z.number().int().min(1).max(64),
+    zones: z.array(text).min(1),
+    clock_error_ms: amount.default(0),
+    teams: z.array(z.object({ name: text, cpus: amount, cpus_max: amount, gpus: amount, gpus_max: amount })).min(1),
+    objectives: z
+      .array(
+        z.object({
+          kind: text,
+          class: z.string().nullish(),
+          within_s: amount.nullish(),
+          after_s: amount.nullish(),
+          share: amount.nullish(),
+          most: amount.nullish(),
+        }),
+      )
+      .default([]),
+    workers: z.object({
+      report_s: positive,
+      lease_s: positive,
+      gang_wait_s: positive,
+      gang_peer_s: positive,
+      cancel_s: positive,
+    }),
+    state: z.object({ rps: positive, write_rps: positive, value_kb: positive, txn_ops: z.number().int().min(1) }),
+    cloud: z.object({ rps: positive, list_lag_s: amount }),
+    machine_limits: z.object({ cpu_share: positive, mem_mb: positive, max_sockets: positive }),
+  }),
+});
+
+const operator = z.strictObject({
+  plan_wait_s: positive.default(10),
+  silent_s: positive.nullish(),
+  idle_s: positive.default(20),
+  max_machines: z.number().int().positive().nullish(),
+});
+
+export interface Settings {
+  core: CoreSettings;
+  publicAddr: string;
+  peerListen: string;
+  others: { name: string; addr: string }[];
+  cloud: string;
+  state: string;
+  clockErrorMs: number;
+  maxSockets: number;
+}
+
+function check<T>(name: string, schema: z.ZodType<T>, value: unknown): T {
+  const r = schema.safeParse(value);
+  if (r.success) return r.data;
+  const issue = r.error.issues[0];
+  throw new SettingsError(`${name}: ${issue?.path.join('.') || 'file'}: ${issue?.message ?? 'invalid'}`);
+}
+
+function read(path: string): string {
+  try {
+    return readFileSync(path, 'utf8');
+  } catch (e) {
+    throw new SettingsError(`${path}: ${(e as NodeJS.ErrnoException).code === 'ENOENT' ? 'no such file' : (e as Error).message}`);
+  }
+}
+
+function parseToml(path: string): unknown {
+  try {
+    return parse(read(path));
+  } catch (e) {
+    if (e instanceof SettingsError) throw e;
+    throw new SettingsError(`${path}: not valid TOML: ${(e as Error).message.split('\n')[0]}`);
+  }
+}
+
+function parseOperator(path: string): unknown {
+  try {
+    return JSON.parse(read(path));
+  } catch (e) {
+    if (e instanceof SettingsError) throw e;
+    throw new SettingsError(`${path}: not valid JSON (the build makes it of the HCL file)`);
+  }
+}
+
+export function loadSettings(path: string, operatorPath: string | null): Settings {
+  const s = check(path, file, parseToml(path));
+  const o = check(operatorPath ?? 'operator settings', operator, operatorPath === null ? {} : parseOperator(operatorPath));
+  const names = [s.host_name, ...s.others.map((x) => x.host_name)];
+  if (new Set(names).size !== names.length) throw new SettingsError(`${path}: others: host_name given twice`);
+  const policy: Policy = {
+    planWaitS: o.plan_wait_s,
+    // Three reports missed, and some more for a packet sent again.
+    silentS: o.silent_s ?? s.params.workers.report_s * 3.5,
+    idleS: o.idle_s,
+    maxMachines: o.max_machines ?? null,
+  };
+  const w = s.params.workers;
+  return {
+    core: {
+      node: s.host_name,
+      zone: s.location,
+      nodes: [{ name: s.host_name, zone: s.location }, ...s.others.map((x) => ({ name: x.host_name, zone: x.location }))].sort(
+        (a, b) => (a.name < b.name ? -1 : 1),
+      ),
+      shares: s.params.initial_size,
+      zones: s.params.zones,
+      teams: s.params.teams.map((t) => ({
+        name: t.name,
+        cpus: t.cpus,
+        cpusMax: t.cpus_max,
+        gpus: t.gpus,
+        gpusMax: t.gpus_max,
+      })),
+      objectives: s.params.objectives.map((x) => ({
+        kind: x.kind,
+        cls: x.class ?? null,
+        withinS: x.within_s ?? null,
+        afterS: x.after_s ?? null,
+        share: x.share ?? null,
+        most: x.most ?? null,
+      })),
+      workers: {
+        reportS: w.report_s,
+        leaseS: w.lease_s,
+        gangWaitS: w.gang_wait_s,
+        gangPeerS: w.gang_peer_s,
+        cancelS: w.cancel_s,
+      },
+      state: {
+        rps: s.params.state.rps,
+        writeRps: s.params.state.write_rps,
+        valueKb: s.params.state.value_kb,
+        txnOps: s.params.state.txn_ops,
+      },
+      cloud: { rps: s.params.cloud.rps, listLagS: s.params.cloud.list_lag_s },
+      policy,
+    },
+    publicAddr: s.public_addr,
+    peerListen: s.peer_listen,
+    others: s.others.map((x) => ({ name: x.host_name, addr: x.peer_addr })),
+    cloud: s.external.cloud,
+    state: s.external.state,
+    clockErrorMs: s.params.clock_error_ms,
+    maxSockets: s.params.machine_limits.max_sockets,
+  };
+}
--- /dev/null
+++ b/packages/store/src/index.ts
@@ -0,0 +1,192 @@
+import { Budget, Client, sleep, steady } from '@archpost/transport';
+import type { Change, Guard, Row, Write } from '@archpost/wire';
+import {
+  leaseBody,
+  PATHS,
+  pack,
+  parseChanges,
+  parseFailed,
+  parseLease,
+  parseRevision,
+  parseRows,
+  txnBody,
+  unpackMap,
+} from '@archpost/wire';
+import { Subject } from 'rxjs';
+
+export type TxnOutcome =
+  | { kind: 'ok'; revision: number }
+  | { kind: 'failed'; keys: string[] }
+  | { kind: 'refused' }
+  | { kind: 'noLease' }
+  | { kind: 'unknown' };
+
+export interface StateEvents {
+  loaded: { rows: Row[]; revision: number };
+  changes: { changes: Change[]; revision: number; asOf: number };
+  lease: { permit: number | null; validUntil: number };
+}
+
+/** A wait this long bounds how old the copy can be when nothing changes. */
+const WATCH_MS = 2500;
+
+/** The state service: one lease, one copy of our keys kept up by a watch, transactions. */
+export class StateStore {
+  readonly loaded$ = new Subject<StateEvents['loaded']>();
+  readonly changes$ = new Subject<StateEvents['changes']>();
+  readonly lease$ = new Subject<StateEvents['lease']>();
+  private readonly client: Client;
+  private readonly budget: Budget;
+  private revision = 0;
+  private barrierWanted = false;
+  private barrierBusy = false;
+  private barrierAt = 0;
+  private stopped = false;
+  private readonly pauseMs: number;
+
+  constructor(
+    addr: string,
+    private readonly prefix: string,
+    rps: number,
+    private readonly ttlMs: number,
+    private readonly driftShare: number,
+  ) {
+    this.client = new Client(addr, 16);
+    this.budget = new Budget(rps, steady);
+    // Watch, barriers and writes share the budget: a third of it for re-opening the watch.
+    this.pauseMs = Math.max(40, Math.min(250, 3000 / rps));
+  }
+
+  start(): void {
+    void this.leaseLoop();
+    void this.watchLoop();
+  }
+
+  stop(): void {
+    this.stopped = true;
+    this.client.close();
+  }
+
+  private async get(path: string, timeoutMs: number): Promise<{ status: number; body: Record<string, unknown> | null }> {
+    const o = await this.client.call({ method: 'GET', path, timeoutMs });
+    return o.kind === 'answer' ? { status: o.status, body: unpackMap(o.body) } : { status: 0, body: null };
+  }
+
+  // ---- the lease
+
+  private async leaseLoop(): Promise<void> {
+    let permit: number | null = null;
+    const every = Math.min(this.ttlMs / 6, 2500);
+    while (!this.stopped) {
+      this.budget.force();
+      const at = steady();
+      const path: string = permit === null ? PATHS.leases : `${PATHS.leases}/${permit}/extend`;
+      const body = pack(permit === null ? leaseBody(this.ttlMs) : {});
+      const o = await this.client.call({ method: 'POST', path, body, timeoutMs: 2000 });
+      let wait = 400;
+      if (o.kind === 'answer' && o.status === 200) {
+        if (permit === null) permit = parseLease(unpackMap(o.body) ?? {});
+        if (permit !== null) {
+          // Counted from the sending, on a clock that may run fast or slow.
+          this.lease$.next({ permit, validUntil: at + this.ttlMs * (1 - this.driftShare) - 20 });
+          wait = every;
+        }
+      } else if (o.kind === 'answer' && (o.status === 404 || o.status === 400) && permit !== null) {
+        permit = null;
+        this.lease$.next({ permit: null, validUntil: 0 });
+        wait = 0;
+      }
+      await sleep(wait);
+    }
+  }
+
+  /** The lease has ended, a write said: the loop will see it at its next renewal. */
+
+  // ---- the copy
+
+  private async watchLoop(): Promise<void> {
+    while (!this.stopped) {
+      if (!(await this.load())) {
+        await sleep(300);
+        continue;
+      }
+      for (;;) {
+        const r = await this.read(WATCH_MS, WATCH_MS + 2000);
+        if (this.stopped) return;
+        if (r === 'old') break;
+        await sleep(r === 'ok' ? this.pauseMs : 300);
+      }
+    }
+  }
+
+  private async load(): Promise<boolean> {
+    const rows: Row[] = [];
+    let since = '';
+    let first = -1;
+    for (;;) {
+      await this.budget.take();
+      const at = since === '' ? '' : `&since=${since}`;
+      const r = await this.get(`${PATHS.keys}?starts=${this.prefix}${at}&most=1000`, 3000);
+      const page = r.status === 200 && r.body ? parseRows(r.body) : null;
+      if (!page) return false;
+      if (first < 0) first = page.revision;
+      rows.push(...page.rows);
+      if (!page.more || page.rows.length === 0) break;
+      since = page.rows[page.rows.length - 1]?.key ?? '';
+    }
+    // Pages can be of different times: what changed since the first one comes by the watch.
+    this.revision = first;
+    this.loaded$.next({ rows, revision: first });
+    const r = await this.read(0, 2000);
+    return r === 'ok';
+  }
+
+  private async read(waitMs: number, timeoutMs: number): Promise<'ok' | 'old' | 'failed'> {
+    await this.budget.take();
+    const asOf = steady();
+    const r = await this.get(`${PATHS.changes}?starts=${this.prefix}&since=${this.revision}&wait_ms=${waitMs}`, timeoutMs);
+    if (r.status === 410) return 'old';
+    const page = r.status === 200 && r.body ? parseChanges(r.body) : null;
+    if (!page) return 'failed';
+    if (page.revision > this.revision) this.revision = page.revision;
+    this.changes$.next({ changes: page.changes, revision: page.revision, asOf });
+    return 'ok';
+  }
+
+  /** Reads once more, newer than this call. Calls are batched. */
+  barrier(): void {
+    this.barrierWanted = true;
+    if (this.barrierBusy || this.revision === 0) return;
+    this.barrierBusy = true;
+    void this.barrierLoop();
+  }
+
+  private async barrierLoop(): Promise<void> {
+    while (this.barrierWanted && !this.stopped) {
+      const wait = this.barrierAt + 1.5 * this.pauseMs - steady();
+      if (wait > 0) await sleep(wait);
+      this.barrierWanted = false;
+      this.barrierAt = steady();
+      const r = await this.read(0, 1200);
+      if (r === 'failed') await sleep(200);
+    }
+    this.barrierBusy = false;
+  }
+
+  // ---- writing
+
+  async txn(guards: Guard[], writes: Write[]): Promise<TxnOutcome> {
+    await this.budget.take();
+    const o = await this.client.call({ method: 'POST', path: PATHS.txn, body: pack(txnBody(guards, writes)), timeoutMs: 1500 });
+    if (o.kind === 'refused') return { kind: 'refused' };
+    if (o.kind === 'lost') return { kind: 'unknown' };
+    const body = unpackMap(o.body) ?? {};
+    if (o.status === 200) {
+      const revision = parseRevision(body);
+      return revision === null ? { kind: 'unknown' } : { kind: 'ok', revision };
+    }
+    if (o.status === 409) return { kind: 'failed', keys: parseFailed(body) };
+    if (o.status === 400) return { kind: 'noLease' };
+    return o.status === 503 || o.status === 429 ? { kind: 'refused' } : { kind: 'unknown' };
+  }
+}
--- /dev/null
+++ b/packages/transport/src/index.ts
@@ -0,0 +1,134 @@
+import http from 'node:http';
+
+export type Outcome =
+  | { kind: 'answer'; status: number; body: Buffer }
+  /** nothing left this machine: the request can't be carried out later */
+  | { kind: 'refused' }
+  /** no answer: it may have been carried out, or may be yet */
+  | { kind: 'lost' };
+
+export interface Call {
+  method: 'GET' | 'POST' | 'DELETE';
+  path: string;
+  body?: Buffer;
+  timeoutMs: number;
+}
+
+export function splitAddr(addr: string): { host: string; port: number } {
+  const cut = addr.lastIndexOf(':');
+  return { host: addr.slice(0, cut), port: Number(addr.slice(cut + 1)) };
+}
+
+/** HTTP/1.1 to one address, on persistent connections, never pipelined. */
+export class Client {
+  private readonly agent: http.Agent;
+  private readonly host: string;
+  private readonly port: number;
+
+  constructor(addr: string, maxSockets: number) {
+    const { host, port } = splitAddr(addr);
+    this.host = host;
+    this.port = port;
+    this.agent = new http.Agent({ keepAlive: true, maxSockets, maxFreeSockets: maxSockets, scheduling: 'lifo' });
+  }
+
+  call(c: Call): Promise<Outcome> {
+    return new Promise((resolve) => {
+      let sent = false;
+      let over = false;
+      const finish = (o: Outcome) => {
+        if (over) return;
+        over = true;
+        clearTimeout(timer);
+        resolve(o);
+      };
+      const req = http.request({
+        agent: this.agent,
+        host: this.host,
+        port: this.port,
+        method: c.method,
+        path: c.path,
+        headers: c.body
+          ? { 'content-type': 'application/msgpack', 'content-length': c.body.length }
+          : { accept: 'application/msgpack' },
+      });
+      const fail = () => {
+        finish(sent ? { kind: 'lost' } : { kind: 'refused' });
+        req.destroy();
+      };
+      const timer = setTimeout(fail, c.timeoutMs);
+      req.on('socket', (s) => {
+        if (!s.connecting) sent = true;
+        else
+          s.once('connect', () => {
+            sent = true;
+          });
+      });
+      req.on('error', fail);
+      req.on('response', (res) => {
+        const parts: Buffer[] = [];
+        res.on('data', (d: Buffer) => parts.push(d));
+        res.on('error', fail);
+        res.on('aborted', fail);
+        res.on('end', () =>
+          finish({
+            kind: 'answer',
+            status: res.statusCode ?? 0,
+            body: parts.length === 1 ? (parts[0] as Buffer) : Buffer.concat(parts),
+          }),
+        );
+      });
+      req.end(c.body);
+    });
+  }
+
+  close(): void {
+    this.agent.destroy();
+  }
+}
+
+/** A request budget: so many a second, with a burst of one second's worth. */
+export class Budget {
+  private tokens: number;
+  private at: number;
+
+  constructor(
+    private readonly perS: number,
+    private readonly clock: () => number,
+  ) {
+    this.tokens = Math.max(1, perS);
+    this.at = clock();
+  }
+
+  private refill(): void {
+    const now = this.clock();
+    this.tokens = Math.min(Math.max(1, this.perS), this.tokens + ((now - this.at) / 1000) * this.perS);
+    this.at = now;
+  }
+
+  /** Takes one whatever is left: for what must not wait. */
+  force(): void {
+    this.refill();
+    this.tokens -= 1;
+  }
+
+  tryTake(): boolean {
+    this.refill();
+    if (this.tokens < 1) return false;
+    this.tokens -= 1;
+    return true;
+  }
+
+  async take(): Promise<void> {
+    while (!this.tryTake()) await sleep(Math.max(5, ((1 - this.tokens) / this.perS) * 1000));
+  }
+}
+
+export function sleep(ms: number): Promise<void> {
+  return new Promise((r) => setTimeout(r, ms));
+}
+
+/** Milliseconds of the steady clock. */
+export function steady(): number {
+  return Number(process.hrtime.bigint() / 1000n) / 1000;
+}
--- /dev/null
+++ b/packages/wire/src/cloud.ts
@@ -0,0 +1,113 @@
+import { z } from 'zod';
+
+export interface MachineType {
+  name: string;
+  cpus: number;
+  gpus: number;
+  memory: number;
+  cacheGb: number;
+  fetchGbPerS: number;
+  price: number;
+  spotPrice: number;
+  bootS: number;
+  zones: string[];
+}
+
+const types = z.object({
+  builds: z.array(
+    z.object({
+      name: z.string(),
+      cores: z.number(),
+      accelerators: z.number().nullish(),
+      memory_gb: z.number(),
+      cache_gb: z.number().nullish(),
+      fetch_gb_per_s: z.number().nullish(),
+      hourly: z.number().nullish(),
+      spot_price: z.number().nullish(),
+      boot_s: z.number().nullish(),
+      yards: z.array(z.string()).nullish(),
+    }),
+  ),
+});
+
+export function parseTypes(body: Record<string, unknown>): MachineType[] | null {
+  const r = types.safeParse(body);
+  if (!r.success) return null;
+  return r.data.builds.map((b) => ({
+    name: b.name,
+    cpus: b.cores,
+    gpus: b.accelerators ?? 0,
+    memory: b.memory_gb,
+    cacheGb: b.cache_gb ?? 0,
+    fetchGbPerS: b.fetch_gb_per_s ?? 1,
+    price: b.hourly ?? 0,
+    spotPrice: b.spot_price ?? b.hourly ?? 0,
+    bootS: b.boot_s ?? 60,
+    zones: b.yards ?? [],
+  }));
+}
+
+export interface Listed {
+  machine: string;
+  addr: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  state: 'booting' | 'running' | 'failed';
+  ageS: number;
+}
+
+const listing = z.object({
+  hosts: z.array(
+    z.object({
+      ref: z.string(),
+      address: z.string().nullish(),
+      build: z.string(),
+      yard: z.string(),
+      loaners: z.boolean(),
+      status: z.enum(['booting', 'running', 'failed']),
+      age_s: z.number(),
+    }),
+  ),
+  has_next: z.boolean().nullish(),
+});
+
+export function parseListing(body: Record<string, unknown>): { machines: Listed[]; more: boolean } | null {
+  const r = listing.safeParse(body);
+  if (!r.success) return null;
+  return {
+    more: r.data.has_next ?? false,
+    machines: r.data.hosts.map((h) => ({
+      machine: h.ref,
+      addr: h.address ?? '',
+      type: h.build,
+      zone: h.yard,
+      spot: h.loaners,
+      state: h.status,
+      ageS: h.age_s,
+    })),
+  };
+}
+
+export interface Rental {
+  request: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  count: number;
+}
+
+export const rentalBody = (r: Rental) => ({
+  booking: r.request,
+  build: r.type,
+  yard: r.zone,
+  loaners: r.spot,
+  number: r.count,
+});
+
+export const returnBody = (machines: string[]) => ({ hosts: machines });
+
+export function parseRented(body: Record<string, unknown>): string[] | null {
+  const r = z.object({ hosts: z.array(z.string()) }).safeParse(body);
+  return r.success ? r.data.hosts : null;
+}
--- /dev/null
+++ b/packages/wire/src/jobs.ts
@@ -0,0 +1,90 @@
+import { z } from 'zod';
+import { type JobState, RANK_FROM_WIRE, SHAPE_FROM_WIRE, type Shape, STATE_TO_WIRE } from './names.js';
+
+export interface JobSpec {
+  id: string;
+  cls: string;
+  team: string;
+  shape: Shape;
+  rank: number;
+  tasks: number;
+  cpus: number;
+  gpus: number;
+  memory: number;
+  image: string;
+  imageGb: number;
+  types: string[] | null;
+  zone: string | null;
+  oneZone: boolean;
+  spread: boolean;
+  spot: boolean;
+  estimateS: number;
+  checkpointS: number;
+  saveS: number;
+  deadlineS: number | null;
+}
+
+const name = z.string().min(1).max(120);
+const amount = z.number().min(0).max(1e9);
+
+const submission = z.object({
+  ref: z.string().regex(/^run-[A-Za-z0-9_.-]{1,64}$/),
+  jobclass: name,
+  crew: name,
+  shape: z.enum(['sweep', 'gang', 'standing']),
+  rank: z.enum(['critical', 'urgent', 'standard', 'best_effort']),
+  pieces: z.number().int().min(1).max(100_000),
+  cores: amount,
+  accelerators: amount,
+  memory_gb: amount,
+  bundle: name,
+  size_gb: amount,
+  builds: z.array(name).max(64).nullish(),
+  yard: name.nullish(),
+  one_zone: z.boolean(),
+  spread: z.boolean(),
+  loaners: z.boolean(),
+  guess_s: amount,
+  snapshot_s: amount,
+  stow_s: amount,
+  due_s: amount.nullish(),
+});
+
+export const JOB_ID = /^run-[A-Za-z0-9_.-]{1,64}$/;
+
+/** A job as its user wrote it, or the name of the first field at fault. */
+export function parseSubmission(body: Record<string, unknown>): { spec: JobSpec } | { field: string } {
+  const r = submission.safeParse(body);
+  if (!r.success) return { field: r.error.issues[0]?.path.join('.') || 'body' };
+  const b = r.data;
+  return {
+    spec: {
+      id: b.ref,
+      cls: b.jobclass,
+      team: b.crew,
+      shape: SHAPE_FROM_WIRE[b.shape] as Shape,
+      rank: RANK_FROM_WIRE[b.rank] as number,
+      tasks: b.pieces,
+      cpus: b.cores,
+      gpus: b.accelerators,
+      memory: b.memory_gb,
+      image: b.bundle,
+      imageGb: b.size_gb,
+      types: b.builds ?? null,
+      zone: b.yard ?? null,
+      oneZone: b.one_zone,
+      spread: b.spread,
+      spot: b.loaners,
+      estimateS: b.guess_s,
+      checkpointS: b.snapshot_s,
+      saveS: b.stow_s,
+      deadlineS: b.due_s ?? null,
+    },
+  };
+}
+
+export function jobAnswer(id: string, state: JobState, counts?: { done: number; running: number }) {
+  return counts
+    ? { ref: id, status: STATE_TO_WIRE[state], done: counts.done, running: counts.running }
+    : { ref: id, status: STATE_TO_WIRE[state] };
+}
--- /dev/null
+++ b/packages/wire/src/names.ts
@@ -0,0 +1,34 @@
+/**
+ * The names that PROTOCOL uses on the wire, met nowhere but in this package.
+ * Everything else speaks of jobs, tasks, machines, tokens, sessions and attempts.
+ */
+export const PATHS = {
+  jobs: '/v2/runs',
+  up: '/up',
+  report: '/checkin',
+  commands: '/do',
+  status: '/show',
+  machineTypes: '/machine_types',
+  machines: '/machines',
+  machinesReturn: '/machines/return',
+  keys: '/keys',
+  txn: '/txn',
+  leases: '/leases',
+  changes: '/changes',
+} as const;
+
+export const MAX_BODY = 64 * 1024;
+
+export type Shape = 'array' | 'gang' | 'service';
+export const SHAPE_FROM_WIRE: Record<string, Shape> = { sweep: 'array', gang: 'gang', standing: 'service' };
+
+/** Larger is more urgent. */
+export const RANK_FROM_WIRE: Record<string, number> = { critical: 3, urgent: 2, standard: 1, best_effort: 0 };
+
+export type JobState = 'queued' | 'running' | 'done' | 'cancelled';
+export const STATE_TO_WIRE: Record<JobState, string> = {
+  queued: 'queued',
+  running: 'running',
+  done: 'done',
+  cancelled: 'aborted',
+};
--- /dev/null
+++ b/packages/wire/src/state.ts
@@ -0,0 +1,70 @@
+import { z } from 'zod';
+
+export interface Guard {
+  key: string;
+  stamp: number;
+}
+export type Write = { put: string; value: unknown; lease?: number } | { del: string };
+
+export const txnBody = (guards: Guard[], writes: Write[]) => ({
+  guards: guards.map((g) => ({ k: g.key, stamp: g.stamp })),
+  writes: writes.map((w) =>
+    'del' in w
+      ? { remove: w.del }
+      : w.lease === undefined
+        ? { write: w.put, v: w.value }
+        : { write: w.put, v: w.value, permit: w.lease },
+  ),
+});
+
+export interface Row {
+  key: string;
+  value: unknown;
+  stamp: number;
+}
+export interface Change {
+  key: string;
+  /** undefined: removed */
+  value: unknown;
+  stamp: number;
+}
+
+const rows = z.object({
+  rows: z.array(z.object({ k: z.string(), v: z.unknown().optional(), stamp: z.number() })),
+  has_next: z.boolean().nullish(),
+  ledger: z.number(),
+});
+export function parseRows(b: Record<string, unknown>): { rows: Row[]; more: boolean; revision: number } | null {
+  const r = rows.safeParse(b);
+  if (!r.success) return null;
+  return {
+    rows: r.data.rows.map((x) => ({ key: x.k, value: x.v, stamp: x.stamp })),
+    more: r.data.has_next ?? false,
+    revision: r.data.ledger,
+  };
+}
+
+const changes = z.object({
+  ledger: z.number(),
+  log: z.array(
+    z.object({ write: z.string().nullish(), remove: z.string().nullish(), v: z.unknown().optional(), stamp: z.number() }),
+  ),
+});
+export function parseChanges(b: Record<string, unknown>): { changes: Change[]; revision: number } | null {
+  const r = changes.safeParse(b);
+  if (!r.success) return null;
+  return {
+    revision: r.data.ledger,
+    changes: r.data.log.map((e) =>
+      typeof e.write === 'string'
+        ? { key: e.write, value: e.v ?? null, stamp: e.stamp }
+        : { key: e.remove ?? '', value: undefined, stamp: e.stamp },
+    ),
+  };
+}
+
+export const leaseBody = (ttlMs: number) => ({ ttl_ms: ttlMs });
+export const parseLease = (b: Record<string, unknown>) => (typeof b.permit === 'number' ? b.permit : null);
+export const parseRevision = (b: Record<string, unknown>) => (typeof b.ledger === 'number' ? b.ledger : null);
+export const parseFailed = (b: Record<string, unknown>): string[] =>
+  Array.isArray(b.failed) ? b.failed.filter((x): x is string => typeof x === 'string') : [];
--- /dev/null
+++ b/packages/workers/src/index.ts
@@ -0,0 +1,44 @@
+import { Client } from '@archpost/transport';
+import { type Command, commandBody, PATHS, pack, parseReport, type Report, unpackMap } from '@archpost/wire';
+
+export type CommandOutcome = { kind: 'ok' | 'stale'; report: Report | null } | { kind: 'lost' | 'refused' };
+
+/** Commands that go directly to workers. */
+export class Workers {
+  private readonly clients = new Map<string, { client: Client; used: number }>();
+
+  constructor(private readonly maxClients: number) {}
+
+  private client(addr: string): Client {
+    const known = this.clients.get(addr);
+    if (known) {
+      known.used = Date.now();
+      return known.client;
+    }
+    if (this.clients.size >= this.maxClients) {
+      let oldest: string | null = null;
+      for (const [a, c] of this.clients) if (oldest === null || c.used < (this.clients.get(oldest)?.used ?? 0)) oldest = a;
+      if (oldest !== null) {
+        this.clients.get(oldest)?.client.close();
+        this.clients.delete(oldest);
+      }
+    }
+    const client = new Client(addr, 1);
+    this.clients.set(addr, { client, used: Date.now() });
+    return client;
+  }
+
+  async command(addr: string, token: number, session: number, commands: Command[]): Promise<CommandOutcome> {
+    const o = await this.client(addr).call({
+      method: 'POST',
+      path: PATHS.commands,
+      body: pack(commandBody(token, session, commands)),
+      timeoutMs: 2500,
+    });
+    if (o.kind !== 'answer') return { kind: o.kind };
+    const body = unpackMap(o.body);
+    if (o.status === 200) return { kind: 'ok', report: body && parseReport(body) };
+    if (o.status === 409) return { kind: 'stale', report: body && parseReport(body) };
+    return { kind: 'lost' };
+  }
+}
--- /dev/null
+++ b/test/safety.test.ts
@@ -0,0 +1,180 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Cluster, job } from './stand-ins.js';
+
+function cluster(machines = 6): Cluster {
+  const c = new Cluster();
+  for (let i = 0; i < machines; i++) c.machine(`m${i}`, 'small', i % 2 === 0 ? 'east' : 'west');
+  c.settle();
+  return c;
+}
+
+const holderOf = (c: Cluster, id: string) => {
+  const any = c.nodes.find((n) => n.up);
+  const share = any?.core.table.jobs.get(id)?.share ?? -1;
+  return any?.core.table.holder(share)?.holder.node ?? '';
+};
+
+test('an array runs to its end, once, and its user is told so by every node', () => {
+  const c = cluster();
+  c.submit(job('run-a', { tasks: 5, estimateS: 4 }));
+  c.until('done', () => c.finished.size === 5, 40);
+  c.run(3);
+  for (const n of c.nodes) assert.equal(c.ask('run-a', n), 'done');
+  const starts = c.trace.filter((l) => l.includes('starts run-a'));
+  assert.equal(starts.length, 5);
+});
+
+test('takeover with a silent worker: its task is started elsewhere only once it is given back', () => {
+  const c = cluster();
+  c.submit(job('run-s', { shape: 'service', rank: 3, cls: 'serve' }));
+  c.until('running', () => c.running('run-s') === 1);
+  const owner = holderOf(c, 'run-s');
+  const machine = c.on('run-s')[0] as string;
+  c.cloudDown = true;
+  c.node(owner).crash();
+  const w = c.workers.find((x) => x.name === machine);
+  assert.ok(w);
+  w.hung = true;
+  c.run(30);
+  assert.deepEqual(c.on('run-s'), [machine], 'nothing proves that it is gone yet');
+  c.cloudDown = false;
+  c.until('started elsewhere', () => c.running('run-s') === 1 && c.on('run-s')[0] !== machine, 30);
+  const lines = c.trace.join('\n');
+  assert.ok(lines.indexOf(`${machine} is given back`) < lines.lastIndexOf('starts run-s'));
+});
+
+test('a machine that hangs and goes on later does not run what was started elsewhere', () => {
+  const c = cluster();
+  c.submit(job('run-h', { shape: 'service', rank: 3, cls: 'serve' }));
+  c.until('running', () => c.running('run-h') === 1);
+  const w = c.workers.find((x) => x.name === c.on('run-h')[0]);
+  assert.ok(w);
+  w.hung = true;
+  c.run(5);
+  c.submit(job('run-i', { tasks: 4 }));
+  c.run(2);
+  w.hung = false;
+  c.run(30);
+  assert.equal(c.running('run-h'), 1);
+});
+
+test('a start whose answer was lost, and which comes late, finds a higher token', () => {
+  const c = cluster(2);
+  const w = c.workers[0];
+  assert.ok(w);
+  // Hangs just as starts are sent: they are held, and executed when it goes on.
+  w.hung = true;
+  c.submit(job('run-l', { tasks: 4, estimateS: 60 }));
+  c.run(4);
+  w.hung = false;
+  c.until('all running', () => c.running('run-l') === 4, 60);
+});
+
+test('a late transaction of a dead holder changes nothing', () => {
+  const c = cluster();
+  const late: (() => void)[] = [];
+  c.submit(job('run-t', { tasks: 2, estimateS: 3 }));
+  const owner = holderOf(c, 'run-t');
+  c.loseTxn = (e, apply) => {
+    if (!e.writes.some((x) => 'put' in x && /^a\/[jp]\/run-t/.test(x.put))) return false;
+    late.push(apply);
+    return true;
+  };
+  c.until('its end was to be written', () => late.length > 0, 30);
+  c.node(owner).crash();
+  c.loseTxn = null;
+  c.run(1);
+  c.node(owner).restart();
+  c.until('done again', () => c.ask('run-t') === 'done', 40);
+  const before = JSON.stringify(c.state.rows());
+  for (const apply of late) apply();
+  assert.equal(JSON.stringify(c.state.rows()), before);
+});
+
+test('a job cancelled while its owner is being replaced is gone in time', () => {
+  const c = cluster();
+  c.submit(job('run-c', { tasks: 3, estimateS: 500 }));
+  c.until('running', () => c.running('run-c') === 3);
+  c.node(holderOf(c, 'run-c')).crash();
+  c.run(1);
+  c.cancel('run-c');
+  c.until('gone', () => c.on('run-c').length === 0, 36);
+  assert.equal(c.ask('run-c'), 'aborted');
+});
+
+test('in a cut zone a keeper answers reports, so the work there goes on', () => {
+  const c = cluster(8);
+  c.submit(job('run-z', { shape: 'service', tasks: 4, spread: true, rank: 3, cls: 'serve' }));
+  c.until('running', () => c.running('run-z') === 4);
+  const west = (x: string) => x === 'n1' || c.workers.find((w) => w.name === x)?.zone === 'west';
+  const before = c.trace.length;
+  c.cut = (a, b) => west(a) !== west(b);
+  c.run(40);
+  c.cut = () => false;
+  c.run(15);
+  const since = c.trace.slice(before);
+  assert.deepEqual(
+    since.filter((l) => l.includes('kills') || l.includes('given back')),
+    [],
+  );
+  assert.equal(c.running('run-z'), 4);
+});
+
+test('a gang that was partly started when its owner crashed runs whole, once', () => {
+  const c = new Cluster();
+  for (let i = 0; i < 4; i++) c.machine(`m${i}`, 'small', 'east');
+  c.settle();
+  c.submit(job('run-g', { shape: 'gang', tasks: 4, cpus: 4, estimateS: 10, rank: 2 }));
+  c.until('a member started', () => c.on('run-g').length > 0, 40);
+  c.node(holderOf(c, 'run-g')).crash();
+  c.run(4);
+  c.nodes.find((n) => !n.up)?.restart();
+  c.until('done', () => c.ask('run-g') === 'done', 90);
+});
+
+test('quota holds while places are unresolved after a takeover', () => {
+  const c = new Cluster();
+  c.machine('g0', 'big', 'east');
+  c.machine('g1', 'big', 'west');
+  c.machine('g2', 'big', 'east');
+  c.settle();
+  // Team green may use 8 GPUs: one job of 8 runs, another waits for it.
+  c.submit(job('run-q', { team: 'green', shape: 'gang', gpus: 8, cpus: 40, estimateS: 60, rank: 2 }));
+  c.until('running', () => c.running('run-q') === 1, 40);
+  c.cloudDown = true;
+  const w = c.workers.find((x) => x.name === c.on('run-q')[0]);
+  assert.ok(w);
+  const owner = c.node(holderOf(c, 'run-q'));
+  owner.crash();
+  w.hung = true;
+  c.submit(job('run-r', { team: 'green', shape: 'gang', gpus: 8, cpus: 40, estimateS: 5, rank: 2 }));
+  c.run(3);
+  owner.restart();
+  c.run(30);
+  assert.equal(c.running('run-r'), 0);
+  c.cloudDown = false;
+  c.until('its turn', () => c.running('run-r') === 1, 120);
+});
+
+test('no start while the state service is away for long, and none is lost when it is back', () => {
+  const c = cluster();
+  c.stateDown = true;
+  c.run(12);
+  const before = c.trace.length;
+  c.stateDown = false;
+  c.run(1);
+  c.submit(job('run-o', { tasks: 2, estimateS: 3 }));
+  c.until('done', () => c.ask('run-o') === 'done', 40);
+  assert.ok(c.trace.length > before);
+});
+
+test('an answer never goes back: a node without the state service refuses rather than guess', () => {
+  const c = cluster();
+  c.submit(job('run-b', { tasks: 1, estimateS: 300 }), c.node('n0'));
+  c.node('n2').refused = true;
+  c.run(1);
+  c.cancel('run-b', c.node('n0'));
+  assert.equal(c.ask('run-b', c.node('n1')), 'aborted');
+  assert.equal(c.ask('run-b', c.node('n2')), '503');
+});
--- /dev/null
+++ b/test/stand-ins.ts
@@ -0,0 +1,631 @@
+// Stand-ins for what archpost meets, written from PROTOCOL: the state service, the cloud,
+// workers and users, joined with real cores in one simulated time. Nothing here is random.
+import assert from 'node:assert/strict';
+import { Core, type CoreSettings, type Effect } from '@archpost/core';
+import type { Change, Command, JobSpec, MachineType, PeerStatus, Report, Row, TaskReport } from '@archpost/wire';
+
+export const TYPES: MachineType[] = [
+  {
+    name: 'small',
+    cpus: 4,
+    gpus: 0,
+    memory: 16,
+    cacheGb: 20,
+    fetchGbPerS: 1,
+    price: 1,
+    spotPrice: 0.3,
+    bootS: 5,
+    zones: ['east', 'west'],
+  },
+  {
+    name: 'big',
+    cpus: 48,
+    gpus: 8,
+    memory: 384,
+    cacheGb: 100,
+    fetchGbPerS: 1,
+    price: 20,
+    spotPrice: 6,
+    bootS: 5,
+    zones: ['east', 'west'],
+  },
+];
+
+export function settings(node: string, nodes = ['n0', 'n1', 'n2']): CoreSettings {
+  const zone = (n: string) => (n === 'n1' ? 'west' : 'east');
+  return {
+    node,
+    zone: zone(node),
+    nodes: nodes.map((name) => ({ name, zone: zone(name) })),
+    shares: nodes.length,
+    zones: ['east', 'west'],
+    teams: [
+      { name: 'red', cpus: 0, cpusMax: 0, gpus: 8, gpusMax: 16 },
+      { name: 'blue', cpus: 0, cpusMax: 0, gpus: 8, gpusMax: 16 },
+      { name: 'green', cpus: 0, cpusMax: 0, gpus: 8, gpusMax: 8 },
+    ],
+    objectives: [{ kind: 'wait', cls: 'serve', withinS: 5, afterS: null, share: 0.95, most: null }],
+    workers: { reportS: 2, leaseS: 12, gangWaitS: 40, gangPeerS: 4, cancelS: 36 },
+    state: { rps: 100, writeRps: 60, valueKb: 16, txnOps: 12 },
+    cloud: { rps: 6, listLagS: 5 },
+    policy: { planWaitS: 10, silentS: 7, idleS: 20, maxMachines: 0 },
+  };
+}
+
+export function job(id: string, over: Partial<JobSpec> = {}): JobSpec {
+  return {
+    id,
+    cls: 'batch',
+    team: 'red',
+    shape: 'array',
+    rank: 1,
+    tasks: 1,
+    cpus: 2,
+    gpus: 0,
+    memory: 4,
+    image: 'img',
+    imageGb: 1,
+    types: null,
+    zone: null,
+    oneZone: false,
+    spread: false,
+    spot: false,
+    estimateS: 10,
+    checkpointS: 0,
+    saveS: 0,
+    deadlineS: null,
+    ...over,
+  };
+}
+
+const SHAPES = { array: 'sweep', gang: 'gang', service: 'standing' } as const;
+const RANKS = ['best_effort', 'standard', 'urgent', 'critical'];
+
+function submission(s: JobSpec): Record<string, unknown> {
+  return {
+    ref: s.id,
+    jobclass: s.cls,
+    crew: s.team,
+    shape: SHAPES[s.shape],
+    rank: RANKS[s.rank],
+    pieces: s.tasks,
+    cores: s.cpus,
+    accelerators: s.gpus,
+    memory_gb: s.memory,
+    bundle: s.image,
+    size_gb: s.imageGb,
+    builds: s.types,
+    yard: s.zone,
+    one_zone: s.oneZone,
+    spread: s.spread,
+    loaners: s.spot,
+    guess_s: s.estimateS,
+    snapshot_s: s.checkpointS,
+    stow_s: s.saveS,
+    due_s: s.deadlineS,
+  };
+}
+
+interface Key {
+  value: unknown;
+  stamp: number;
+  lease: number | null;
+}
+
+/** Strongly consistent keys with leases, as PROTOCOL describes them. */
+class StateStandIn {
+  revision = 1;
+  readonly keys = new Map<string, Key>();
+  readonly log: Change[] = [];
+  readonly leases = new Map<number, { until: number; ttl: number }>();
+  private nextLease = 1;
+
+  lease(ttl: number, now: number): number {
+    const id = this.nextLease++;
+    this.leases.set(id, { until: now + ttl, ttl });
+    return id;
+  }
+
+  extend(id: number, now: number): boolean {
+    const l = this.leases.get(id);
+    if (!l) return false;
+    l.until = now + l.ttl;
+    return true;
+  }
+
+  expire(now: number): void {
+    for (const [id, l] of this.leases) {
+      if (now < l.until) continue;
+      this.leases.delete(id);
+      const gone = [...this.keys].filter(([, k]) => k.lease === id);
+      if (gone.length > 0) this.revision++;
+      for (const [k] of gone) {
+        this.keys.delete(k);
+        this.log.push({ key: k, value: undefined, stamp: this.revision });
+      }
+    }
+  }
+
+  txn(e: Extract<Effect, { t: 'txn' }>): Parameters<Core['txnResult']>[1] {
+    const failed = e.guards.filter((g) => (this.keys.get(g.key)?.stamp ?? 0) !== g.stamp).map((g) => g.key);
+    for (const w of e.writes) if ('put' in w && w.lease !== undefined && !this.leases.has(w.lease)) return { kind: 'noLease' };
+    if (failed.length > 0) return { kind: 'failed', keys: failed };
+    this.revision++;
+    for (const w of e.writes) {
+      if ('put' in w) {
+        const value = structuredClone(w.value);
+        this.keys.set(w.put, { value, stamp: this.revision, lease: w.lease ?? null });
+        this.log.push({ key: w.put, value, stamp: this.revision });
+      } else {
+        this.keys.delete(w.del);
+        this.log.push({ key: w.del, value: undefined, stamp: this.revision });
+      }
+    }
+    return { kind: 'ok', revision: this.revision };
+  }
+
+  since(revision: number): Change[] {
+    return this.log.filter((c) => c.stamp > revision);
+  }
+
+  rows(): Row[] {
+    return [...this.keys].map(([key, k]) => ({ key, value: k.value, stamp: k.stamp }));
+  }
+}
+
+interface WorkerTask extends TaskReport {
+  startedAt: number;
+}
+
+/** One worker: its lease, its session, the token it obeys, and the tasks it runs. */
+export class WorkerStandIn {
+  session = 1;
+  seq = 0;
+  token = 0;
+  tasks = new Map<string, WorkerTask>();
+  renewedAt: number;
+  nextReport = 0;
+  target = 0;
+  noticeS: number | null = null;
+  /** no power, or given back */
+  dead = false;
+  /** executes nothing and answers nothing, and may go on later */
+  hung = false;
+  /** commands that arrive only once it goes on */
+  held: (() => void)[] = [];
+  fails = false;
+
+  constructor(
+    readonly cluster: Cluster,
+    readonly name: string,
+    readonly type: string,
+    readonly zone: string,
+    readonly spot: boolean,
+  ) {
+    this.renewedAt = cluster.now;
+  }
+
+  report(): Report {
+    this.seq++;
+    return {
+      machine: this.name,
+      addr: this.name,
+      type: this.type,
+      zone: this.zone,
+      spot: this.spot,
+      session: this.session,
+      seq: this.seq,
+      token: this.token,
+      noticeS: this.noticeS,
+      tasks: [...this.tasks.values()].map(({ job, index, attempt, state, why, saved }) => ({
+        job,
+        index,
+        attempt,
+        state,
+        why,
+        saved,
+      })),
+    };
+  }
+
+  obey(commands: Command[]): void {
+    for (const c of commands) {
+      const key = `${c.job}/${c.index}/${c.attempt}`;
+      const t = this.tasks.get(key);
+      if (c.op === 'start' && !t) {
+        const spec = this.cluster.specs.get(c.job);
+        const state = { job: c.job, index: c.index, attempt: c.attempt, saved: false, startedAt: this.cluster.now };
+        const used = [...this.tasks.values()].filter((x) => x.state !== 'exited');
+        const cap = TYPES.find((x) => x.name === this.type) as MachineType;
+        const sum = (f: (s: JobSpec) => number) =>
+          used.reduce((a, x) => a + f(this.cluster.specs.get(x.job) as JobSpec), spec ? f(spec) : 0);
+        if (!spec) this.tasks.set(key, { ...state, state: 'exited', why: 'unknown' });
+        else if (sum((s) => s.cpus) > cap.cpus || sum((s) => s.gpus) > cap.gpus || sum((s) => s.memory) > cap.memory)
+          this.tasks.set(key, { ...state, state: 'exited', why: 'no_room' });
+        else {
+          this.cluster.started(this, c.job, c.index);
+          this.tasks.set(key, { ...state, state: spec.shape === 'gang' && spec.tasks > 1 ? 'waiting' : 'running', why: null });
+          this.cluster.note(`${this.name} starts ${c.job}/${c.index}`);
+        }
+      } else if (c.op === 'stop' && t && t.state !== 'exited') {
+        t.state = 'exited';
+        t.why = 'stopped';
+        this.cluster.note(`${this.name} stops ${c.job}/${c.index}`);
+      } else if (c.op === 'forget' && t?.state === 'exited') {
+        this.tasks.delete(key);
+      }
+    }
+  }
+
+  command(token: number, session: number, commands: Command[]): Parameters<Core['commandResult']>[1] {
+    if (token < this.token || session !== this.session) return { kind: 'stale', report: this.report() };
+    this.token = token;
+    this.obey(commands);
+    this.nextReport = Math.min(this.nextReport, this.cluster.now + 500);
+    return { kind: 'ok', report: this.report() };
+  }
+
+  tick(): void {
+    const { now, leaseMs } = this.cluster;
+    if (this.dead || this.hung) return;
+    for (const late of this.held.splice(0)) late();
+    if (now - this.renewedAt > leaseMs) {
+      if (this.tasks.size > 0) this.cluster.note(`${this.name} kills its tasks: lease over`);
+      this.tasks.clear();
+      this.session++;
+      this.renewedAt = now;
+    }
+    for (const t of this.tasks.values()) {
+      const spec = this.cluster.specs.get(t.job) as JobSpec;
+      if (t.state === 'waiting') {
+        const all = this.cluster.workers.flatMap((w) => (w.dead ? [] : [...w.tasks.values()]));
+        if (all.filter((x) => x.job === t.job && x.attempt === t.attempt && x.state !== 'exited').length === spec.tasks)
+          t.state = 'running';
+      }
+      if (t.state !== 'running') continue;
+      const over = this.fails ? 'error' : spec.shape !== 'service' && now - t.startedAt >= spec.estimateS * 1000 ? 'done' : null;
+      if (!over) continue;
+      t.state = 'exited';
+      t.why = over;
+      if (over === 'done') this.cluster.finished.add(`${t.job}/${t.index}`);
+      this.nextReport = Math.min(this.nextReport, now + 500);
+    }
+    if (now >= this.nextReport) this.send();
+  }
+
+  private send(): void {
+    const { cluster } = this;
+    this.nextReport = cluster.now + 2000;
+    const node = cluster.nodes[this.target % cluster.nodes.length] as Node;
+    const sentAt = cluster.now;
+    const session = this.session;
+    const next = () => {
+      this.target++;
+      this.nextReport = cluster.now + 1000;
+    };
+    if (!node.up || cluster.cut(node.name, this.name)) return next();
+    node.report(this.report(), (status, body) => {
+      if (this.dead || this.hung || session !== this.session) return;
+      if (status === 421 && typeof body.home === 'string') {
+        this.target = cluster.nodes.findIndex((n) => n.name === body.home);
+        this.nextReport = cluster.now + 100;
+      } else if (status !== 200) next();
+      else if (typeof body.baton === 'number' && body.baton >= this.token) {
+        if (body.baton > this.token) this.nextReport = cluster.now + 500;
+        this.token = body.baton;
+        this.renewedAt = Math.max(this.renewedAt, sentAt);
+        const orders = body.orders as { verb: string; piece: string; try: number }[];
+        this.obey(
+          orders.map((o) => ({
+            op: o.verb === 'run' ? 'start' : o.verb === 'clear' ? 'forget' : 'stop',
+            job: o.piece.slice(0, o.piece.lastIndexOf('/')),
+            index: Number(o.piece.slice(o.piece.lastIndexOf('/') + 1)),
+            attempt: o.try,
+            graceS: 0,
+          })),
+        );
+      }
+    });
+  }
+}
+
+/** A controller: a core with its edges simulated. */
+export class Node {
+  core: Core;
+  up = true;
+  /** the state service refuses this node alone */
+  refused = false;
+  private permit: number | null = null;
+  private renewAt = 0;
+  private loadedAt = -1;
+  private boots = 0;
+  private answers = new Map<number, (status: number, body: Record<string, unknown>) => void>();
+  private nextAnswer = 1;
+
+  constructor(
+    readonly cluster: Cluster,
+    readonly name: string,
+  ) {
+    this.core = this.fresh();
+  }
+
+  private fresh(): Core {
+    return new Core(settings(this.name, this.cluster.names), `${this.name}-${this.boots++}`);
+  }
+
+  crash(): void {
+    this.up = false;
+    this.cluster.note(`${this.name} crashes`);
+  }
+
+  restart(): void {
+    this.core = this.fresh();
+    this.permit = null;
+    this.renewAt = 0;
+    this.loadedAt = -1;
+    this.answers.clear();
+    this.up = true;
+    this.cluster.note(`${this.name} restarts`);
+  }
+
+  private wait(then: (status: number, body: Record<string, unknown>) => void): number {
+    const id = this.nextAnswer++;
+    this.answers.set(id, then);
+    return id;
+  }
+
+  report(r: Report, then: (status: number, body: Record<string, unknown>) => void): void {
+    const id = this.wait(then);
+    this.core.report(id, r, this.cluster.now);
+    this.run();
+  }
+
+  submit(s: JobSpec, then: (status: number, body: Record<string, unknown>) => void): void {
+    this.core.submit(this.wait(then), submission(s), this.cluster.now, this.cluster.now);
+    this.run();
+  }
+
+  poll(id: string, then: (status: number, body: Record<string, unknown>) => void): void {
+    this.core.poll(this.wait(then), id, this.cluster.now);
+    this.run();
+  }
+
+  cancel(id: string, then: (status: number, body: Record<string, unknown>) => void): void {
+    this.core.cancel(this.wait(then), id, this.cluster.now);
+    this.run();
+  }
+
+  tick(): void {
+    if (!this.up) return;
+    const { now, state } = this.cluster;
+    if (!this.cluster.stateDown && !this.refused) {
+      if (now >= this.renewAt) {
+        this.renewAt = now + 3000;
+        if (this.permit === null || !state.extend(this.permit, now)) {
+          if (this.permit !== null) this.core.leaseState(null, 0, now);
+          this.permit = state.lease(18_000, now);
+        }
+        this.core.leaseState(this.permit, now + 17_900, now);
+      }
+      if (this.loadedAt < 0) {
+        this.loadedAt = now;
+        this.core.types(TYPES, now);
+        this.core.loaded(state.rows(), state.revision, now);
+      }
+      this.core.changes(state.since(this.core.replica.revision), state.revision, now, now);
+    }
+    this.core.tick(now);
+    this.run();
+  }
+
+  run(): void {
+    for (const e of this.core.drain()) this.effect(e);
+  }
+
+  private effect(e: Effect): void {
+    const { cluster, core } = this;
+    const later = (ms: number, f: () => void) =>
+      cluster.at(cluster.now + ms, () => {
+        if (!this.up || this.core !== core) return;
+        f();
+        this.run();
+      });
+    if (e.t === 'answer') {
+      const then = this.answers.get(e.id);
+      this.answers.delete(e.id);
+      then?.(e.status, e.body as Record<string, unknown>);
+    } else if (e.t === 'txn') {
+      if (cluster.stateDown || this.refused) return later(20, () => core.txnResult(e.id, { kind: 'refused' }, cluster.now));
+      const apply = () => cluster.state.txn(e);
+      if (cluster.loseTxn?.(e, apply)) return later(1500, () => core.txnResult(e.id, { kind: 'unknown' }, cluster.now));
+      const r = apply();
+      later(10, () => core.txnResult(e.id, r, cluster.now));
+    } else if (e.t === 'command') {
+      const w = cluster.workers.find((x) => x.name === e.machine);
+      if (!w || w.dead || w.hung || cluster.cut(this.name, e.machine)) {
+        if (w?.hung) w.held.push(() => void w.command(e.token, e.session, e.commands));
+        return later(2500, () => core.commandResult(e.id, { kind: 'lost' }, cluster.now));
+      }
+      const r = w.command(e.token, e.session, e.commands);
+      later(10, () => core.commandResult(e.id, r, cluster.now));
+    } else if (e.t === 'status') {
+      const copy: PeerStatus = structuredClone(e.status);
+      for (const n of cluster.nodes) {
+        if (n !== this && n.up && !cluster.cut(this.name, n.name)) n.core.peerStatus(copy, cluster.now);
+      }
+    } else if (e.t === 'return') {
+      if (cluster.cloudDown) return later(100, () => core.returned(e.id, false, cluster.now));
+      for (const name of e.machines) cluster.remove(name);
+      later(100, () => core.returned(e.id, true, cluster.now));
+    } else if (e.t === 'list') later(100, () => core.listed([], cluster.now));
+    else if (e.t === 'rent') later(100, () => core.rented(e.id, { kind: 'full' }, cluster.now));
+    else if (e.t === 'types') later(50, () => core.types(TYPES, cluster.now));
+  }
+}
+
+/** The whole world. Every step checks the rules that can be seen from the workers. */
+export class Cluster {
+  now = 0;
+  readonly leaseMs = 12_000;
+  readonly state = new StateStandIn();
+  readonly nodes: Node[];
+  readonly workers: WorkerStandIn[] = [];
+  readonly specs = new Map<string, JobSpec>();
+  readonly cancelledAt = new Map<string, number>();
+  readonly finished = new Set<string>();
+  stateDown = false;
+  cloudDown = false;
+  /** says whether a transaction's answer is lost; `apply` carries it out, now or later */
+  loseTxn: ((e: Extract<Effect, { t: 'txn' }>, apply: () => void) => boolean) | null = null;
+  /** true if the two can't reach each other */
+  cut: (a: string, b: string) => boolean = () => false;
+  trace: string[] = [];
+  private queue: { at: number; run: () => void }[] = [];
+
+  constructor(readonly names = ['n0', 'n1', 'n2']) {
+    this.nodes = names.map((n) => new Node(this, n));
+  }
+
+  node(name: string): Node {
+    return this.nodes.find((n) => n.name === name) as Node;
+  }
+
+  note(text: string): void {
+    this.trace.push(`${(this.now / 1000).toFixed(1).padStart(6)} ${text}`);
+  }
+
+  at(when: number, run: () => void): void {
+    this.queue.push({ at: when, run });
+  }
+
+  machine(name: string, type = 'small', zone = 'east', spot = false): WorkerStandIn {
+    const w = new WorkerStandIn(this, name, type, zone, spot);
+    this.workers.push(w);
+    return w;
+  }
+
+  remove(name: string): void {
+    const w = this.workers.find((x) => x.name === name);
+    if (!w) return;
+    w.dead = true;
+    w.tasks.clear();
+    this.note(`${name} is given back`);
+  }
+
+  run(seconds: number): void {
+    const end = this.now + seconds * 1000;
+    while (this.now < end) {
+      this.now += 100;
+      const due = this.queue.filter((q) => q.at <= this.now).sort((a, b) => a.at - b.at);
+      this.queue = this.queue.filter((q) => q.at > this.now);
+      for (const q of due) q.run();
+      if (!this.stateDown) this.state.expire(this.now);
+      for (const w of this.workers) w.tick();
+      for (const n of this.nodes) n.tick();
+      this.check();
+    }
+  }
+
+  /** Runs until the condition holds; fails if it doesn't within the time. */
+  until(what: string, holds: () => boolean, seconds = 60): void {
+    const end = this.now + seconds * 1000;
+    while (!holds()) {
+      assert.ok(this.now < end, `not within ${seconds} s: ${what}\n${this.trace.join('\n')}`);
+      this.run(0.1);
+    }
+  }
+
+  submit(s: JobSpec, at = this.nodes.find((n) => n.up) as Node): void {
+    this.specs.set(s.id, s);
+    let status = 0;
+    at.submit(s, (code) => {
+      status = code;
+    });
+    this.until(`${s.id} accepted`, () => status !== 0, 6);
+    this.note(`user told ${status} for ${s.id}`);
+  }
+
+  cancel(id: string, at = this.nodes.find((n) => n.up) as Node): void {
+    let told = '';
+    at.cancel(id, (_code, body) => {
+      told = String(body.status ?? body.error);
+    });
+    this.until(`${id} cancelled`, () => told !== '', 6);
+    if (told === 'aborted') this.cancelledAt.set(id, this.now);
+    this.note(`user told ${told} for ${id}`);
+  }
+
+  /** What a user is told: status code and state. */
+  ask(id: string, at = this.nodes.find((n) => n.up) as Node): string {
+    let said = '';
+    at.poll(id, (code, body) => {
+      said = code === 200 ? String(body.status) : String(code);
+    });
+    this.until(`${id} answered`, () => said !== '', 6);
+    return said;
+  }
+
+  on(id: string): string[] {
+    return this.workers
+      .filter((w) => !w.dead && [...w.tasks.values()].some((t) => t.job === id && t.state !== 'exited'))
+      .map((w) => w.name);
+  }
+
+  running(id: string): number {
+    return this.workers.reduce(
+      (n, w) => n + (w.dead ? 0 : [...w.tasks.values()].filter((t) => t.job === id && t.state === 'running').length),
+      0,
+    );
+  }
+
+  /** ran_twice and wrong_place, at the moment of each start. */
+  started(w: WorkerStandIn, id: string, index: number): void {
+    const spec = this.specs.get(id) as JobSpec;
+    const live = this.workers.filter((x) => !x.dead);
+    for (const x of live) {
+      for (const t of x.tasks.values()) {
+        if (t.job !== id || t.state === 'exited') continue;
+        assert.ok(t.index !== index, `ran_twice: ${id}/${index} on ${x.name} and ${w.name}\n${this.trace.join('\n')}`);
+        assert.ok(!spec.oneZone || x.zone === w.zone, `wrong_place: ${id} in two zones\n${this.trace.join('\n')}`);
+      }
+    }
+    const inZone = live.reduce(
+      (n, x) => n + (x.zone === w.zone ? [...x.tasks.values()].filter((t) => t.job === id && t.state !== 'exited').length : 0),
+      0,
+    );
+    assert.ok(!spec.spread || inZone < Math.ceil(spec.tasks / 2), `wrong_place: ${id} not spread\n${this.trace.join('\n')}`);
+    const told = this.cancelledAt.get(id);
+    assert.ok(told === undefined || this.now - told <= 36_000, `ran_cancelled: ${id} starts\n${this.trace.join('\n')}`);
+  }
+
+  private check(): void {
+    const use = new Map<string, number>();
+    for (const w of this.workers) {
+      if (w.dead) continue;
+      for (const t of w.tasks.values()) {
+        if (t.state === 'exited') continue;
+        const spec = this.specs.get(t.job) as JobSpec;
+        use.set(spec.team, (use.get(spec.team) ?? 0) + spec.gpus);
+        const told = this.cancelledAt.get(t.job);
+        assert.ok(
+          told === undefined || this.now - told <= 36_000,
+          `ran_cancelled: ${t.job} on ${w.name}\n${this.trace.join('\n')}`,
+        );
+      }
+    }
+    for (const t of settings('n0', this.names).teams) {
+      assert.ok((use.get(t.name) ?? 0) <= t.gpusMax, `quota: ${t.name}\n${this.trace.join('\n')}`);
+    }
+  }
+
+  /** Controllers up, machines granted and answering. */
+  settle(): void {
+    this.until(
+      'all machines granted',
+      () => this.workers.every((w) => w.dead || [...this.nodes].some((n) => n.up && n.core.table.machines.get(w.name)?.resolved)),
+      40,
+    );
+    this.run(1);
+    this.trace = [];
+  }
+}
