--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -114,7 +114,7 @@
     if (c.holding !== undefined) this.holdings.changed(c.holding);
     if (c.machine) {
       if (c.machine.share < 0) this.lead.machineGone(c.machine.name, this.now);
-      this.owner.machineChanged(c.machine, this.now);
+      this.owner.machineChanged(c.machine, c.moved === true, this.now);
     }
     if (c.job) this.owner.jobChanged(c.job);
   }
--- a/packages/core/src/lead.ts
+++ b/packages/core/src/lead.ts
@@ -209,6 +209,10 @@
       this.serve(wants, m.moveTo, m, m.cap);
       taken.add(name);
     }
+    const idle = (s: PeerShare) =>
+      s.machines.filter(
+        (p) => p.tasks === 0 && table.machines.get(p.name)?.spot === false && table.machines.get(p.name)?.cap?.gpus === 0,
+      ).length;
     let budget = 6;
     for (const w of wants) {
       if (budget <= 0) break;
@@ -234,6 +238,9 @@
             )
           )
             continue;
+          if (!this.saves && w.d.gpus === 0 && m.cap.gpus > 0 && !m.spot && table.gpuShares.has(s.share)) continue;
+          // Ordinary machines stay for what can't use others.
+          if (!this.saves && w.d.spot && !m.spot && w.d.gpus === 0 && idle(s) <= 3) continue;
           if (w.d.gpus === 0 && m.cap.gpus > 0 && w.d.rank < 2 && p.tasks > 0) continue;
           const n = copies(w.d, m.cap);
           options.push({
--- a/packages/core/src/model.ts
+++ b/packages/core/src/model.ts
@@ -131,6 +131,8 @@
   cursor = 0;
   returned: number[] = [];
   notBefore: Ms = 0;
+  /** since when some of its tasks have had no room; -1: all have */
+  waitsSince: Ms = -1;
   errors = new Set<string>();
   errorCount = 0;
   progressQueued = false;
@@ -194,6 +196,8 @@
   seq = -1;
   /** answered our token since we took the share over: its report is all there is on it */
   resolved = false;
+  /** may bear work of an earlier holder that we don't know of */
+  suspect = false;
   /** a command's fate is unknown: its token must rise before it is used again */
   dirty = false;
   bumping = false;
--- a/packages/core/src/owner.ts
+++ b/packages/core/src/owner.ts
@@ -22,6 +22,7 @@
   private attempts = 1;
   private wantPlan = true;
   private lastTick: Ms = 0;
+  private lastSummary: Ms = 0;
   private readonly commands = new Map<number, { machine: Machine; sent: Placement[]; probe: boolean }>();
   private readonly returns = new Map<number, Machine[]>();
   private nextReturnAt: Ms = 0;
@@ -30,7 +31,12 @@
   private unmet: { job: Job; count: number; within: boolean }[] = [];
   private now: Ms = 0;
 
-  constructor(private readonly cx: Context) {}
+  /** money is among the objectives */
+  private readonly saves: boolean;
+
+  constructor(private readonly cx: Context) {
+    this.saves = cx.settings.objectives.some((o) => o.kind === 'price');
+  }
 
   planSoon(): void {
     this.wantPlan = true;
@@ -48,7 +54,11 @@
 
   gained(share: number, stamp: number, now: Ms): void {
     this.held.set(share, { share, stamp, since: now });
-    for (const m of this.cx.table.machines.values()) if (m.share === share) this.resetMachine(m, now);
+    for (const m of this.cx.table.machines.values()) {
+      if (m.share !== share) continue;
+      this.resetMachine(m, now);
+      m.suspect = true;
+    }
     for (const j of this.cx.table.jobs.values()) if (j.share === share) this.resetJob(j);
     this.wantPlan = true;
   }
@@ -93,12 +103,18 @@
     j.finishQueued = false;
   }
 
-  machineChanged(m: Machine, now: Ms): void {
+  machineChanged(m: Machine, moved: boolean, now: Ms): void {
     if (m.share < 0) {
       this.machineGone(m);
       return;
     }
-    if (this.held.has(m.share) && !m.resolved && m.seq < 0) m.heardAt = Math.max(m.heardAt, now);
+    if (moved) {
+      // Came to, or left, a share: what was known of it here is of no worth any more. Only
+      // machines seen empty are handed over, so it bears nothing unknown.
+      this.machineGone(m);
+      this.resetMachine(m, now);
+      m.suspect = false;
+    }
     this.wantPlan = true;
   }
 
@@ -404,6 +420,10 @@
       for (const m of this.cx.table.machines.values()) m.heardAt = Math.min(now, m.heardAt + gap - 300);
     }
     this.lastTick = now;
+    if (now - this.lastSummary > 10_000) {
+      this.lastSummary = now;
+      this.summary(now);
+    }
     if (this.held.size === 0 || !this.cx.leaseValid(now)) return;
     this.watchJobs(now);
     this.watchMachines(now);
@@ -414,6 +434,37 @@
     for (const m of this.cx.table.machines.values()) if (this.held.has(m.share)) this.flush(m, now);
   }
 
+  /** What somebody reading the log wants to know first. */
+  private summary(now: Ms): void {
+    for (const share of this.held.keys()) {
+      const s = this.share(share, now);
+      const types: Record<string, string> = {};
+      const by = new Map<string, { n: number; idle: number; unusable: number }>();
+      for (const p of s.machines) {
+        const m = this.cx.table.machines.get(p.name);
+        const key = `${m?.cap?.name ?? '?'}${m?.spot ? '*' : ''}`;
+        const b = by.get(key) ?? { n: 0, idle: 0, unusable: 0 };
+        b.n++;
+        if (p.tasks === 0) b.idle++;
+        if (m && !this.usable(m, now)) b.unusable++;
+        by.set(key, b);
+      }
+      for (const [k, b] of by) types[k] = `${b.n} (${b.idle} idle, ${b.unusable} not usable)`;
+      const accelerated: Record<string, string> = {};
+      for (const m of this.cx.table.machines.values()) {
+        if (m.share !== share || !m.cap || m.cap.gpus === 0) continue;
+        const on = new Map<string, number>();
+        for (const p of m.placements.values())
+          on.set(`${p.job.spec.cls} ${p.phase}`, (on.get(`${p.job.spec.cls} ${p.phase}`) ?? 0) + 1);
+        accelerated[`${m.name}${m.spot ? '*' : ''}`] = [...on].map(([k, n]) => `${n} ${k}`).join(', ');
+      }
+      const waiting = this.unmet
+        .filter((u) => u.job.share === share)
+        .map((u) => `${u.job.spec.cls} ${u.count} for ${Math.round((now - u.job.arrivedAt) / 1000)} s`);
+      this.cx.log('debug', 'share', { share, machines: types, accelerated, waiting });
+    }
+  }
+
   /** No starts for jobs whose state wasn't confirmed lately: a user may have cancelled them. */
   private staleMs(): number {
     return this.cx.settings.workers.cancelS * 1000 * 0.25;
@@ -453,15 +504,10 @@
   private unproven(j: Job): boolean {
     const held = this.held.get(j.share);
     if (!held || j.stamp > held.stamp) return false;
-    for (const m of this.cx.table.machines.values()) if (m.share === j.share && this.suspect(m, held)) return true;
+    for (const m of this.cx.table.machines.values()) if (m.share === j.share && m.suspect) return true;
     return false;
   }
 
-  /** May bear work of an earlier holder that we don't know of. */
-  private suspect(m: Machine, held: Held): boolean {
-    return !m.resolved && (m.grantStamp < held.stamp || m.seq >= 0);
-  }
-
   // ---- machines
 
   private watchMachines(now: Ms): void {
@@ -614,6 +660,7 @@
       // 200: the machine and everything on it are gone.
       m.returning = true;
       m.resolved = true;
+      m.suspect = false;
       for (const p of [...m.placements.values()]) this.free(p);
       this.dropGrant(m);
     }
@@ -731,6 +778,7 @@
       }
       if (c.probe && !m.resolved) {
         m.resolved = true;
+        m.suspect = false;
         // Under the new token nothing older can start any more: what the report lacks isn't there.
         for (const p of [...m.placements.values()]) if (p.phase === 'sent') this.free(p);
       }
@@ -791,8 +839,7 @@
     }
     // Any team of the share may have work on a machine that hasn't answered yet.
     for (const m of this.cx.table.machines.values()) {
-      const held = this.held.get(m.share);
-      if (!held || !this.suspect(m, held)) continue;
+      if (!m.suspect || !this.held.has(m.share)) continue;
       for (let t = 0; t < use.length; t++) {
         if (this.cx.table.teamShare[t] !== m.share) continue;
         (use[t] as Need).cpus += m.cap?.cpus ?? 0;
@@ -828,14 +875,23 @@
     return out;
   }
 
-  private dueOf(j: Job): number {
+  /**
+   * When the job should start: the next of its class's objectives that can still be kept.
+   * Work that has missed them all comes after what hasn't.
+   */
+  private dueOf(j: Job, now: Ms): number {
+    const fetch = j.spec.imageGb * 1000;
+    const run = (j.ranS > 0 ? j.ranS : j.spec.estimateS) * 1000;
     let due = Number.POSITIVE_INFINITY;
+    let any = false;
     for (const o of this.cx.settings.objectives) {
-      if (o.cls === j.spec.cls && (o.kind === 'wait' || o.kind === 'finished') && o.withinS !== null)
-        due = Math.min(due, o.withinS);
+      if (o.cls !== j.spec.cls || o.withinS === null || (o.kind !== 'wait' && o.kind !== 'finished')) continue;
+      any = true;
+      const at = j.arrivedAt + o.withinS * 1000 - (o.kind === 'wait' ? fetch : run + fetch);
+      if (at > now - 1000) due = Math.min(due, at);
     }
-    if (due === Number.POSITIVE_INFINITY) due = j.spec.deadlineS ?? 600;
-    return j.arrivedAt + due * 1000;
+    if (due < Number.POSITIVE_INFINITY) return due;
+    return j.arrivedAt + (any ? 1e7 : (j.spec.deadlineS ?? 600) * 1000);
   }
 
   private plan(now: Ms): void {
@@ -846,7 +902,7 @@
     const guar = this.guarantees();
     const queue = [...this.cx.table.jobs.values()]
       .filter((j) => this.held.has(j.share) && j.state === 'live' && j.pendingCount() > 0)
-      .map((j) => ({ j, g: guar.get(j) ?? { within: false, firm: false }, due: this.dueOf(j) }))
+      .map((j) => ({ j, g: guar.get(j) ?? { within: false, firm: false }, due: this.dueOf(j, now) }))
       .sort(
         (a, b) =>
           b.j.spec.rank - a.j.spec.rank || Number(b.g.within) - Number(a.g.within) || a.due - b.due || a.j.stamp - b.j.stamp,
@@ -866,7 +922,8 @@
           : this.planTasks(j, g.within, mine, use, guar, now);
       if (left > 0) this.unmet.push({ job: j, count: left, within: g.within });
     }
-    if (later) this.wantPlan = true;
+    if (later || this.unmet.length > 0) this.wantPlan = true;
+    this.clearForGangs(now);
   }
 
   private quotaLeft(j: Job, use: { cpus: number; gpus: number }[]): number {
@@ -883,17 +940,153 @@
     return (this.held.get(share)?.stamp ?? 0) * ATTEMPTS_PER_HOLDING + this.attempts++;
   }
 
-  /** Larger is better: the image at hand first, scarce kinds of room last. */
+  /**
+   * Larger is better, about in seconds: the time until the image is there counts, and
+   * machines with accelerators are left to the work that needs them.
+   */
   private preference(j: Job, r: Room): number {
+    const m = r.machine;
+    const cap = m.cap;
+    if (!cap) return -100;
     let s = 0;
-    if (r.machine.images.has(j.image)) s += 4;
-    else for (const p of r.machine.placements.values()) if (p.job.image === j.image && p.phase === 'there') s = 2;
-    const cap = r.machine.cap;
-    if (j.spec.gpus === 0 && (cap?.gpus ?? 0) > 0) s -= r.machine.spot ? 1 : 3;
-    if (r.machine.spot && j.spec.shape === 'array') s += 0.5;
+    if (!m.images.has(j.image)) {
+      let coming = false;
+      for (const p of m.placements.values()) if (p.job.image === j.image && p.phase !== 'exited') coming = true;
+      s -= (j.spec.imageGb / cap.fetchGbPerS) * (coming ? 0.5 : 1);
+    }
+    if (j.spec.gpus === 0 && cap.gpus > 0) s -= this.gpuPenalty(j, r);
+    if (m.spot && j.spec.shape === 'array') s += 1;
+    // Services stand together, so that whole machines stay free for others.
+    if (j.spec.shape === 'service' && this.plainUse(m).cpus > 0) s += 0.6;
     return s;
   }
 
+  /**
+   * Where capacity is held, services keep off machines with accelerators until nothing else
+   * has come free for a while: there they would stand in the way for hours.
+   */
+  private mayUse(j: Job, r: Room, waitedMs: Ms): boolean {
+    const cap = r.machine.cap;
+    if (this.saves || j.spec.shape !== 'service' || j.spec.gpus > 0 || !cap || cap.gpus === 0) return true;
+    // One machine given to services whole leaves the others to the work they are made for.
+    if (this.givenToServices(r.machine)) return waitedMs > 800;
+    const want = this.cx.table.gpuNeed.get(r.machine.type);
+    if (!want) return waitedMs > 1500;
+    const used = this.plainUse(r.machine);
+    const left =
+      used.cpus + j.spec.cpus <= cap.cpus - want.cpus + 1e-6 && used.memory + j.spec.memory <= cap.memory - want.memory + 1e-6;
+    if (left) return waitedMs > 1500;
+    for (const m of this.cx.table.machines.values()) {
+      if (m !== r.machine && m.share === j.share && this.givenToServices(m) && this.usable(m, this.now) && allowed(j, m)) {
+        if (fits(j.need, this.roomOf(m))) return waitedMs > 30_000;
+      }
+    }
+    return waitedMs > 8000;
+  }
+
+  /** Bears more services than accelerator work leaves room for, or is in a share without such work. */
+  private givenToServices(m: Machine): boolean {
+    if (this.saves || !m.cap || m.cap.gpus === 0 || m.spot) return false;
+    if (!this.cx.table.gpuShares.has(m.share)) return true;
+    const want = this.cx.table.gpuNeed.get(m.type);
+    const used = this.plainUse(m);
+    return want !== undefined && (used.cpus > m.cap.cpus - want.cpus + 1e-6 || used.memory > m.cap.memory - want.memory + 1e-6);
+  }
+
+  /** What work without accelerators takes on the machine. */
+  private plainUse(m: Machine): { cpus: number; memory: number } {
+    const u = { cpus: 0, memory: 0 };
+    for (const p of m.placements.values()) {
+      if (p.phase === 'exited' || p.job.spec.gpus > 0 || p.job.spec.shape !== 'service') continue;
+      u.cpus += p.job.spec.cpus;
+      u.memory += p.job.spec.memory;
+    }
+    return u;
+  }
+
+  /**
+   * Machines whose services the share has other room for: these can be cleared, for work
+   * that needs an accelerator or for another share. The fullest go last.
+   */
+  private clearable(share: number, now: Ms): Set<Machine> {
+    const out = new Set<Machine>();
+    if (this.saves) return out;
+    const rooms: Room[] = [];
+    for (const m of this.cx.table.machines.values()) {
+      if (m.share !== share || !m.cap || m.spot || !this.usable(m, now)) continue;
+      if (m.cap.gpus > 0 && !this.givenToServices(m)) continue;
+      const r = this.roomOf(m);
+      for (const p of m.placements.values()) {
+        if (p.phase !== 'exited' && p.job.spec.shape === 'array')
+          take(r, { cpus: -p.job.spec.cpus, gpus: 0, memory: -p.job.spec.memory });
+      }
+      rooms.push(r);
+    }
+    const services = (m: Machine) =>
+      [...m.placements.values()].filter((p) => p.phase !== 'exited' && p.job.spec.shape === 'service');
+    for (const m of this.cx.table.machines.values()) {
+      if (m.share !== share || !m.cap || m.spot) continue;
+      const move = services(m);
+      if (move.length === 0 || move.length > (m.cap.gpus > 0 ? 12 : 4)) continue;
+      const tried = rooms
+        .filter((r) => r.machine !== m && r.machine.placements.size > 0 && this.wider(r.machine, m))
+        .map((r) => ({ ...r }));
+      let all = true;
+      for (const p of move) {
+        const r = tried.find((x) => fits(p.job.need, x) && allowed(p.job, x.machine));
+        if (r) take(r, p.job.need);
+        else all = false;
+      }
+      if (all) out.add(m);
+    }
+    return out;
+  }
+
+  /** May services go from `from` to `to`? From one accelerator machine only to one with more of them. */
+  private wider(to: Machine, from: Machine): boolean {
+    if (from.cap?.gpus === 0 || to.cap?.gpus === 0) return true;
+    return this.plainUse(to).cpus > this.plainUse(from).cpus;
+  }
+
+  /** Clears a machine with accelerators of services when a gang here has no other place. */
+  private clearForGangs(now: Ms): void {
+    if (this.saves || now - this.clearedAt < 5000) return;
+    for (const u of this.unmet) {
+      if (u.job.spec.gpus === 0 || u.job.spec.shape !== 'gang' || u.job.spec.tasks > 1) continue;
+      for (const m of this.clearable(u.job.share, now)) {
+        if (!allowed(u.job, m) || !this.usable(m, now) || !m.cap) continue;
+        const plain = this.plainUse(m);
+        let busy = false;
+        for (const p of m.placements.values()) if (p.phase !== 'exited' && p.job.spec.gpus > 0) busy = true;
+        if (
+          busy ||
+          plain.cpus === 0 ||
+          fits(u.job.need, { cpus: m.cap.cpus - plain.cpus, gpus: m.cap.gpus, memory: m.cap.memory - plain.memory })
+        )
+          continue;
+        this.clearedAt = now;
+        this.cx.log('info', 'moving services off a machine with accelerators', { machine: m.name });
+        for (const p of [...m.placements.values()]) if (p.job.spec.shape === 'service') this.stop(p, 0);
+        return;
+      }
+    }
+  }
+
+  private clearedAt: Ms = -1e12;
+
+  private gpuPenalty(j: Job, r: Room): number {
+    const m = r.machine;
+    if (m.spot) return 1;
+    const want = this.cx.table.gpuNeed.get(m.type);
+    if (!want || !m.cap) return 5;
+    // What an accelerator task leaves over is free for others.
+    const used = this.plainUse(m);
+    const cpus = j.spec.cpus + used.cpus;
+    const memory = j.spec.memory + used.memory;
+    if (cpus <= m.cap.cpus - want.cpus + 1e-6 && memory <= m.cap.memory - want.memory + 1e-6) return this.saves ? 0 : 6;
+    return j.spec.rank < want.rank ? 8 : 40;
+  }
+
   private planTasks(
     j: Job,
     within: boolean,
@@ -907,7 +1100,12 @@
     let can = Math.min(left, quota);
     const unplaceable = left - can;
     const counts = zoneCounts(j);
-    const order = rooms.map((r) => ({ r, s: this.preference(j, r) })).sort((a, b) => b.s - a.s || a.r.cpus - b.r.cpus);
+    if (j.waitsSince < 0) j.waitsSince = now;
+    const waited = now - j.waitsSince;
+    const order = rooms
+      .filter((r) => this.mayUse(j, r, waited))
+      .map((r) => ({ r, s: this.preference(j, r) }))
+      .sort((a, b) => b.s - a.s || a.r.cpus - b.r.cpus);
     while (can > 0) {
       let best: { r: Room; s: number } | null = null;
       for (const o of order) {
@@ -916,19 +1114,11 @@
           break;
         }
       }
-      // A service that would wait for its image takes a cached place from lesser work.
       let room: Room | null = best?.r ?? null;
-      if (j.spec.shape === 'service' && (!best || best.s < 4)) {
-        const cached = rooms.filter((r) => (!best || r.machine.images.has(j.image)) && zoneAllows(j, counts, r.machine.zone));
-        room = this.evictFor(j, within, cached, guar, now) ?? room;
-      } else if (!room) {
-        room = this.evictFor(
-          j,
-          within,
-          rooms.filter((r) => zoneAllows(j, counts, r.machine.zone)),
-          guar,
-          now,
-        );
+      // A better place (the image at hand) may be had from lesser work.
+      if (!best || (j.spec.shape === 'service' && best.s < -1)) {
+        const other = order.filter((o) => (!best || o.s > best.s + 1) && zoneAllows(j, counts, o.r.machine.zone)).map((o) => o.r);
+        room = this.evictFor(j, within, other, guar, now) ?? room;
       }
       if (!room) break;
       const index = j.nextPending();
@@ -940,6 +1130,7 @@
       can--;
       left--;
     }
+    if (left === 0) j.waitsSince = -1;
     return left - unplaceable;
   }
 
@@ -1000,7 +1191,7 @@
     for (const r of rooms) {
       const v = this.victimsOn(j, within, r, guar, now);
       if (!v) continue;
-      const c = v.reduce((a, p) => a + this.cost(p, now), 0) - 100 * this.preference(j, r);
+      const c = v.reduce((a, p) => a + this.cost(p, now), 0) - 20 * this.preference(j, r);
       if (!best || c < best.c) best = { r, v, c };
     }
     if (!best) return null;
@@ -1085,12 +1276,13 @@
   share(share: number, now: Ms): PeerShare {
     const guar = this.guarantees();
     const machines: PeerMachine[] = [];
+    const clearable = this.clearable(share, now);
     for (const m of this.cx.table.machines.values()) {
       if (m.share !== share) continue;
       const r = this.roomOf(m);
       let firmRank = -1;
       for (const p of m.placements.values()) {
-        if (p.phase === 'exited') continue;
+        if (p.phase === 'exited' || (p.job.spec.shape === 'service' && clearable.has(m))) continue;
         firmRank = Math.max(firmRank, guar.get(p.job)?.firm ? 9 : p.job.spec.rank);
       }
       if (!this.usable(m, now)) firmRank = 9;
--- a/packages/core/src/table.ts
+++ b/packages/core/src/table.ts
@@ -1,5 +1,6 @@
 import type { JobSpec, MachineType } from '@archpost/wire';
 import { type CoreSettings, Job, Machine, type Ms, Names } from './model.js';
+import { fits } from './placement.js';
 import type { Entry } from './replica.js';
 
 export const KEY = {
@@ -108,7 +109,7 @@
   }
 
   /** Applies one key. Returns the job or machine that it concerns. */
-  apply(key: string, entry: Entry | null, now: Ms): { job?: Job; machine?: Machine; holding?: string } {
+  apply(key: string, entry: Entry | null, now: Ms): { job?: Job; machine?: Machine; moved?: boolean; holding?: string } {
     const kind = key.slice(2, 4);
     if (kind === 'h/') {
       const name = key.slice(4);
@@ -123,6 +124,27 @@
     return {};
   }
 
+  /** The largest accelerator task seen that fits each type: what such a machine is wanted for. */
+  readonly gpuNeed = new Map<number, { cpus: number; gpus: number; memory: number; rank: number }>();
+
+  /** shares whose teams have had work for accelerators */
+  readonly gpuShares = new Set<number>();
+
+  private noteGpuNeed(spec: JobSpec): void {
+    if (spec.gpus <= 0) return;
+    this.gpuShares.add(this.teamShare[this.teamNames.find(spec.team)] ?? 0);
+    this.types.forEach((t, i) => {
+      if (!t || !fits(spec, t) || (spec.types !== null && !spec.types.includes(t.name))) return;
+      const old = this.gpuNeed.get(i);
+      this.gpuNeed.set(i, {
+        cpus: Math.max(old?.cpus ?? 0, spec.cpus),
+        gpus: Math.max(old?.gpus ?? 0, spec.gpus),
+        memory: Math.max(old?.memory ?? 0, spec.memory),
+        rank: Math.max(old?.rank ?? 0, spec.rank),
+      });
+    });
+  }
+
   private applyJob(id: string, entry: Entry | null, now: Ms): { job?: Job } {
     if (!entry) return {};
     const r = entry.value as JobRecord;
@@ -135,6 +157,7 @@
       job.arrivedAt = now;
       job.wall = r.t;
       this.jobs.set(id, job);
+      this.noteGpuNeed(job.spec);
       for (let k = 0; k * this.chunk < job.spec.tasks; k++) {
         const p = this.early.get(`${id}/${k}`);
         if (p !== undefined) this.mergeProgress(job, k, p);
@@ -179,7 +202,7 @@
     }
   }
 
-  private applyGrant(name: string, entry: Entry | null, now: Ms): { machine?: Machine } {
+  private applyGrant(name: string, entry: Entry | null, now: Ms): { machine?: Machine; moved?: boolean } {
     const old = this.machines.get(name);
     if (!entry) {
       if (old) {
@@ -191,6 +214,7 @@
     }
     const g = entry.value as GrantRecord;
     let m = old;
+    let moved = false;
     if (!m) {
       const type = this.typeNames.index(g.t);
       m = new Machine(name, g.a, type, this.zoneNames.index(g.z), g.sp, this.types[type] ?? null);
@@ -201,12 +225,13 @@
     if (m.share !== g.s) {
       m.share = g.s;
       m.resolved = false;
+      moved = true;
     }
     if (g.a) m.addr = g.a;
     m.grantStamp = entry.stamp;
     m.moveTo = g.mv ?? -1;
     m.retire = g.x ?? false;
-    return { machine: m };
+    return { machine: m, moved };
   }
 
   grantOf(m: Machine): GrantRecord {
