--- a/packages/core/src/context.ts
+++ b/packages/core/src/context.ts
@@ -30,4 +30,6 @@
   gained(holding: string, stamp: number): void;
   lost(holding: string): void;
   planSoon(): void;
+  /** can more machines of this type be had, as far as is known? */
+  plenty(type: string): boolean;
 }
--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -106,6 +106,12 @@
     this.owner.planSoon();
   }
 
+  plenty(type: string): boolean {
+    if (this.lead.leading) return this.lead.plenty().includes(type);
+    for (const p of this.peers.values()) if (p.status.lead) return p.status.plenty.includes(type);
+    return false;
+  }
+
   // ---- the state service
 
   private keyChanged(key: string, entry: { value: unknown; stamp: number } | null): void {
@@ -291,6 +297,8 @@
       running: this.owner.running(),
       strangers: this.lead.strangersNow(now),
       heard: [...this.heard.keys()],
+      plenty: this.lead.leading ? this.lead.plenty() : [],
+      lead: this.lead.leading,
     };
   }
 
--- a/packages/core/src/lead.ts
+++ b/packages/core/src/lead.ts
@@ -25,6 +25,8 @@
 interface Market {
   notBefore: Ms;
   refusals: number;
+  /** the last ordinary request was filled */
+  filled: boolean;
 }
 
 /** The elected lead: grants machines to shares, moves them, rents and gives back. */
@@ -46,13 +48,17 @@
   private readonly returns = new Map<number, string[]>();
   private readonly moves = new Map<string, Ms>();
   private nextRentAt: Ms = 0;
-  private readonly saves: boolean;
 
   constructor(
     private readonly cx: Context,
     private readonly owner: Owner,
-  ) {
-    this.saves = cx.settings.objectives.some((o) => o.kind === 'price');
+  ) {}
+
+  /** Types of which the cloud gave all that was asked for, last time. */
+  plenty(): string[] {
+    const out = new Set<string>();
+    for (const [key, m] of this.markets) if (m.filled) out.add(key.slice(0, key.indexOf('/')));
+    return [...out];
   }
 
   gained(stamp: number, now: Ms): void {
@@ -108,7 +114,7 @@
     if (this.cx.table.typesKnown && this.listAt >= 0) {
       this.rent(shares, now);
       this.tidy(now);
-      if (this.saves) this.giveBackIdle(shares, now);
+      if (!this.cx.settings.policy.hold) this.giveBackIdle(shares, now);
     }
   }
 
@@ -238,9 +244,10 @@
             )
           )
             continue;
-          if (!this.saves && w.d.gpus === 0 && m.cap.gpus > 0 && !m.spot && table.gpuShares.has(s.share)) continue;
+          if (w.d.gpus === 0 && m.cap.gpus > 0 && !m.spot && !this.cx.plenty(m.cap.name) && table.gpuShares.has(s.share))
+            continue;
           // Ordinary machines stay for what can't use others.
-          if (!this.saves && w.d.spot && !m.spot && w.d.gpus === 0 && idle(s) <= 3) continue;
+          if (w.d.spot && !m.spot && w.d.gpus === 0 && idle(s) <= 3) continue;
           if (w.d.gpus === 0 && m.cap.gpus > 0 && w.d.rank < 2 && p.tasks > 0) continue;
           const n = copies(w.d, m.cap);
           options.push({
@@ -304,7 +311,7 @@
     const key = `${type}/${zone}/${spot}`;
     let m = this.markets.get(key);
     if (!m) {
-      m = { notBefore: 0, refusals: 0 };
+      m = { notBefore: 0, refusals: 0, filled: false };
       this.markets.set(key, m);
     }
     return m;
@@ -326,12 +333,12 @@
   private rent(shares: Map<number, PeerShare>, now: Ms): void {
     // A new lead doesn't know what the last one rented: the list will tell.
     if (now - this.since < 2000 * this.cx.settings.cloud.listLagS + 2000 && this.since > 0 && this.takenOver) return;
-    if (now < this.nextRentAt || this.bookings.size >= 2) return;
+    if (now < this.nextRentAt || this.bookings.size >= 3) return;
     const { settings, table } = this.cx;
     const held = table.machines.size + this.onTheWay(now).length;
     const max = settings.policy.maxMachines;
     if (max !== null && held >= max) return;
-    const want = this.saves ? this.wantByNeed(shares, now) : this.wantToHold(shares, now);
+    const want = settings.policy.hold ? this.wantToHold(shares, now) : this.wantByNeed(shares, now);
     if (!want) return;
     const count = Math.max(1, Math.min(want.count, 50, max === null ? 50 : max - held));
     const id = this.cx.nextId();
@@ -339,7 +346,7 @@
     this.bookings.set(id, { ...want, count, names: [], at: now });
     this.cx.log('info', 'renting', { request, ...want, count });
     this.cx.emit({ t: 'rent', id, rental: { request, type: want.type, zone: want.zone, spot: want.spot, count } });
-    this.nextRentAt = now + Math.max(300, 1500 / settings.cloud.rps);
+    this.nextRentAt = now + Math.max(300, 1000 / settings.cloud.rps);
   }
 
   /** Set where machines were granted before this lead began. */
@@ -404,29 +411,59 @@
       .filter((x) => x.t)
       .map((x) => ({ ...x, cpus: x.t?.cpus ?? 0, gpus: x.t?.gpus ?? 0, memory: x.t?.memory ?? 0 }));
     const wants = [...shares.values()].flatMap((s) => s.demands).sort((a, b) => b.rank - a.rank || b.waitS - a.waitS);
+    const cheapest = Math.min(...this.options().map((o) => (o.spot ? Number.POSITIVE_INFINITY : o.type.price / o.type.cpus)));
+    // All wants are fitted, on paper, into what is coming and what would be rented for them.
+    const buy = new Map<string, { type: string; zone: string; spot: boolean; count: number }>();
+    const inZone = new Map<string, number>();
+    for (const m of this.cx.table.machines.values()) {
+      const z = this.cx.table.zoneNames.name(m.zone);
+      inZone.set(z, (inZone.get(z) ?? 0) + 1);
+    }
     for (const d of wants) {
       let left = d.count;
-      for (const f of free) {
-        if (!this.suits(d, f.c.type, f.c.zone, f.c.spot)) continue;
-        const n = Math.min(left, copies(d, f));
-        left -= n;
-        f.cpus -= n * d.cpus;
-        f.gpus -= n * d.gpus;
-        f.memory -= n * d.memory;
-      }
-      if (left <= 0 || d.waitS < 1) continue;
-      let best: { type: string; zone: string; spot: boolean; count: number; score: number } | null = null;
-      for (const o of this.options()) {
-        if (!this.suits(d, o.type.name, o.zone, o.spot) || copies(d, o.type) < 1) continue;
-        if (now < this.market(o.type.name, o.zone, o.spot).notBefore) continue;
-        const n = copies(d, o.type);
-        const price = (o.spot ? o.type.spotPrice : o.type.price) / Math.min(n, left);
-        if (!best || price < best.score)
-          best = { type: o.type.name, zone: o.zone, spot: o.spot, count: Math.ceil(left / n), score: price };
+      const fill = () => {
+        for (const f of free) {
+          if (left <= 0) return;
+          if (!this.suits(d, f.c.type, f.c.zone, f.c.spot)) continue;
+          const n = Math.min(left, copies(d, f));
+          left -= n;
+          f.cpus -= n * d.cpus;
+          f.gpus -= n * d.gpus;
+          f.memory -= n * d.memory;
+        }
+      };
+      fill();
+      if (d.waitS < 1) continue;
+      for (let more = 0; left > 0 && more < 40; more++) {
+        const o = this.cheapestFor(d, left, cheapest, inZone, now);
+        if (!o) break;
+        const c = { type: o.type.name, zone: o.zone, spot: o.spot };
+        const key = `${c.type}/${c.zone}/${c.spot}`;
+        const b = buy.get(key) ?? { ...c, count: 0 };
+        b.count++;
+        buy.set(key, b);
+        inZone.set(c.zone, (inZone.get(c.zone) ?? 0) + 1);
+        free.push({ c, t: o.type, cpus: o.type.cpus, gpus: o.type.gpus, memory: o.type.memory });
+        fill();
       }
-      if (best) return { ...best, count: Math.min(best.count, 8) };
     }
-    return null;
+    return buy.values().next().value ?? null;
+  }
+
+  /** The kind of machine that serves most of these tasks for the money, if any is worth it. */
+  private cheapestFor(d: PeerDemand, left: number, cheapest: number, inZone: Map<string, number>, now: Ms) {
+    let best: { type: MachineType; zone: string; spot: boolean; score: number } | null = null;
+    for (const o of this.options()) {
+      const n = copies(d, o.type);
+      if (n < 1 || !this.suits(d, o.type.name, o.zone, o.spot)) continue;
+      if (now < this.market(o.type.name, o.zone, o.spot).notBefore) continue;
+      const hourly = o.spot ? o.type.spotPrice : o.type.price;
+      // Work that can wait doesn't take a dear machine: a cheap one may come free in time.
+      if (d.gpus === 0 && d.rank < 2 && hourly / o.type.cpus > 2.5 * cheapest && d.slackS > o.type.bootS + 25) continue;
+      const score = (hourly / Math.min(n, left)) * (1 + 0.001 * (inZone.get(o.zone) ?? 0));
+      if (!best || score < best.score) best = { ...o, score };
+    }
+    return best;
   }
 
   rented(id: number, r: { kind: 'ok'; machines: string[] } | { kind: 'full' | 'unknown' }, now: Ms): void {
@@ -437,10 +474,12 @@
     if (r.kind === 'ok') {
       for (const name of r.machines)
         if (!this.listed.has(name)) this.booting.set(name, { ...b, count: 1, names: [name], at: now });
+      mk.filled = !b.spot && r.machines.length >= b.count;
       mk.refusals = r.machines.length < b.count ? 1 : 0;
       mk.notBefore = r.machines.length < b.count ? now + 15_000 : now;
     } else if (r.kind === 'full') {
       mk.refusals++;
+      mk.filled = false;
       mk.notBefore = now + Math.min(90_000, 10_000 * 2 ** Math.min(4, mk.refusals));
     } else {
       // It may have been carried out: what came of it shows in the list.
@@ -480,14 +519,19 @@
   }
 
   private giveBackIdle(shares: Map<number, PeerShare>, now: Ms): void {
-    const wanted = [...shares.values()].some((s) => s.demands.length > 0);
-    if (wanted) return;
+    const demands = [...shares.values()].flatMap((s) => s.demands);
     let budget = 3;
     for (const s of shares.values()) {
       for (const p of s.machines) {
         const m = this.cx.table.machines.get(p.name);
         if (!m || budget <= 0 || p.tasks > 0 || m.moveTo >= 0 || m.retire || p.firmRank > 0) continue;
         if (p.idleS < this.cx.settings.policy.idleS) continue;
+        const cap = m.cap;
+        if (
+          cap &&
+          demands.some((d) => copies(d, cap) >= 1 && this.suits(d, cap.name, this.cx.table.zoneNames.name(m.zone), m.spot))
+        )
+          continue;
         budget--;
         this.cx.log('info', 'not needed', { machine: m.name, idleS: Math.round(p.idleS) });
         this.cx.writer.add({
--- a/packages/core/src/model.ts
+++ b/packages/core/src/model.ts
@@ -25,7 +25,9 @@
   planWaitS: number;
   /** a machine that answers nobody for this long is given back */
   silentS: number;
-  /** an idle machine is given back after this long, where money is an objective */
+  /** hold spare machines of every kind, whatever they cost */
+  hold: boolean;
+  /** an idle machine is given back after this long, unless capacity is held */
   idleS: number;
   /** most machines held at once; null: as many as there are */
   maxMachines: number | null;
--- a/packages/core/src/owner.ts
+++ b/packages/core/src/owner.ts
@@ -31,12 +31,7 @@
   private unmet: { job: Job; count: number; within: boolean }[] = [];
   private now: Ms = 0;
 
-  /** money is among the objectives */
-  private readonly saves: boolean;
-
-  constructor(private readonly cx: Context) {
-    this.saves = cx.settings.objectives.some((o) => o.kind === 'price');
-  }
+  constructor(private readonly cx: Context) {}
 
   planSoon(): void {
     this.wantPlan = true;
@@ -967,7 +962,9 @@
    */
   private mayUse(j: Job, r: Room, waitedMs: Ms): boolean {
     const cap = r.machine.cap;
-    if (this.saves || j.spec.shape !== 'service' || j.spec.gpus > 0 || !cap || cap.gpus === 0) return true;
+    if (j.spec.gpus > 0 || !cap || cap.gpus === 0 || r.machine.spot) return true;
+    if (j.spec.shape !== 'service') return this.arrayMayUse(j, r);
+    if (this.cx.plenty(cap.name)) return true;
     // One machine given to services whole leaves the others to the work they are made for.
     if (this.givenToServices(r.machine)) return waitedMs > 800;
     const want = this.cx.table.gpuNeed.get(r.machine.type);
@@ -984,9 +981,20 @@
     return waitedMs > 8000;
   }
 
+  /** Independent tasks take a dear machine whole only when their time runs out. */
+  private arrayMayUse(j: Job, r: Room): boolean {
+    const cap = r.machine.cap;
+    if (!cap || !this.cx.plenty(cap.name)) return true;
+    const want = this.cx.table.gpuNeed.get(r.machine.type);
+    if (!want) return true;
+    let cpus = j.spec.cpus;
+    for (const p of r.machine.placements.values()) if (p.phase !== 'exited' && p.job.spec.gpus === 0) cpus += p.job.spec.cpus;
+    return cpus <= cap.cpus - want.cpus + 1e-6 || this.dueOf(j, this.now) - this.now < 25_000;
+  }
+
   /** Bears more services than accelerator work leaves room for, or is in a share without such work. */
   private givenToServices(m: Machine): boolean {
-    if (this.saves || !m.cap || m.cap.gpus === 0 || m.spot) return false;
+    if (!m.cap || m.cap.gpus === 0 || m.spot || this.cx.plenty(m.cap.name)) return false;
     if (!this.cx.table.gpuShares.has(m.share)) return true;
     const want = this.cx.table.gpuNeed.get(m.type);
     const used = this.plainUse(m);
@@ -1010,7 +1018,6 @@
    */
   private clearable(share: number, now: Ms): Set<Machine> {
     const out = new Set<Machine>();
-    if (this.saves) return out;
     const rooms: Room[] = [];
     for (const m of this.cx.table.machines.values()) {
       if (m.share !== share || !m.cap || m.spot || !this.usable(m, now)) continue;
@@ -1050,7 +1057,7 @@
 
   /** Clears a machine with accelerators of services when a gang here has no other place. */
   private clearForGangs(now: Ms): void {
-    if (this.saves || now - this.clearedAt < 5000) return;
+    if (now - this.clearedAt < 5000) return;
     for (const u of this.unmet) {
       if (u.job.spec.gpus === 0 || u.job.spec.shape !== 'gang' || u.job.spec.tasks > 1) continue;
       for (const m of this.clearable(u.job.share, now)) {
@@ -1083,7 +1090,8 @@
     const used = this.plainUse(m);
     const cpus = j.spec.cpus + used.cpus;
     const memory = j.spec.memory + used.memory;
-    if (cpus <= m.cap.cpus - want.cpus + 1e-6 && memory <= m.cap.memory - want.memory + 1e-6) return this.saves ? 0 : 6;
+    if (cpus <= m.cap.cpus - want.cpus + 1e-6 && memory <= m.cap.memory - want.memory + 1e-6)
+      return this.cx.plenty(m.cap.name) ? 0 : 6;
     return j.spec.rank < want.rank ? 8 : 40;
   }
 
@@ -1147,7 +1155,8 @@
     const g = guar.get(p.job);
     if (g?.firm) return false;
     if (p.job.spec.rank < j.spec.rank) return true;
-    return within && p.job.team !== j.team && g !== undefined && !g.within;
+    if (!within || p.job.team === j.team || g === undefined || j.spec.gpus === 0) return false;
+    return !g.within || p.job.spec.shape === 'array';
   }
 
   private cost(p: Placement, now: Ms): number {
@@ -1296,11 +1305,24 @@
         idleS: m.placements.size === 0 ? (now - m.idleSince) / 1000 : 0,
       });
     }
-    const demands: PeerDemand[] = [];
+    // Alike wants are told as one.
+    const demands = new Map<string, PeerDemand>();
     for (const u of this.unmet) {
-      if (u.job.share !== share || demands.length >= 24) continue;
+      if (u.job.share !== share) continue;
       const s = u.job.spec;
-      demands.push({
+      const gang = s.shape === 'gang';
+      const key = [s.cpus, s.gpus, s.memory, s.types?.join(',') ?? '', s.zone ?? '', s.spot, s.rank, u.within, s.shape].join('/');
+      const waitS = (now - Math.max(u.job.arrivedAt, u.job.waitsSince)) / 1000;
+      const slackS = Math.max(-1e4, Math.min(1e4, (this.dueOf(u.job, now) - now) / 1000));
+      const old = demands.get(key);
+      if (old) {
+        old.count += u.count;
+        old.waitS = Math.max(old.waitS, waitS);
+        old.slackS = Math.min(old.slackS, slackS);
+        continue;
+      }
+      if (demands.size >= 32) continue;
+      demands.set(key, {
         cpus: s.cpus,
         gpus: s.gpus,
         memory: s.memory,
@@ -1310,11 +1332,12 @@
         rank: s.rank,
         within: u.within,
         count: u.count,
-        gang: s.shape === 'gang',
-        waitS: (now - u.job.arrivedAt) / 1000,
+        gang,
+        waitS,
+        slackS,
       });
     }
-    return { share, machines, demands };
+    return { share, machines, demands: [...demands.values()] };
   }
 
   running(): { job: string; count: number; done: number }[] {
--- a/packages/server/src/service.ts
+++ b/packages/server/src/service.ts
@@ -34,7 +34,7 @@
     // Half of the time a cancellation has: rides out outages, leaves time to take over.
     const ttlMs = Math.round(Math.min(600, Math.max(1, c.workers.cancelS / 2)) * 1000);
     this.store = new StateStore(settings.state, 'a/', (c.state.rps * 0.9) / nodes, ttlMs, 0.002);
-    this.cloud = new Cloud(settings.cloud, (c.cloud.rps * 0.9) / nodes);
+    this.cloud = new Cloud(settings.cloud, c.cloud.rps * Math.max(0.5, 0.9 / nodes));
     this.workers = new Workers(Math.floor(settings.maxSockets / 3));
     this.peers = new Peers(settings.others);
     this.api = new Api(
--- a/packages/server/src/settings.ts
+++ b/packages/server/src/settings.ts
@@ -50,7 +50,8 @@
 const operator = z.strictObject({
   plan_wait_s: positive.default(10),
   silent_s: positive.nullish(),
-  idle_s: positive.default(20),
+  hold: z.boolean().default(false),
+  idle_s: positive.default(40),
   max_machines: z.number().int().positive().nullish(),
 });
 
@@ -107,6 +108,7 @@
     planWaitS: o.plan_wait_s,
     // Three reports missed, and some more for a packet sent again.
     silentS: o.silent_s ?? s.params.workers.report_s * 3.5,
+    hold: o.hold,
     idleS: o.idle_s,
     maxMachines: o.max_machines ?? null,
   };
--- a/packages/wire/src/peer.ts
+++ b/packages/wire/src/peer.ts
@@ -28,6 +28,8 @@
   count: number;
   gang: boolean;
   waitS: number;
+  /** seconds until it should start, by its objectives */
+  slackS: number;
 }
 
 export interface PeerShare {
@@ -45,6 +47,9 @@
   strangers: { machine: string; addr: string; type: string; zone: string; spot: boolean }[];
   /** machines that reported here within the last seconds though others own them */
   heard: string[];
+  /** told by the lead: machine types that the cloud still has, ordinary ones */
+  plenty: string[];
+  lead: boolean;
 }
 
 const root = protobuf.Root.fromJSON({
@@ -73,6 +78,7 @@
         count: { type: 'uint32', id: 9 },
         gang: { type: 'bool', id: 10 },
         waitS: { type: 'double', id: 11 },
+        slackS: { type: 'double', id: 12 },
       },
     },
     Share: {
@@ -105,6 +111,8 @@
         running: { rule: 'repeated', type: 'Running', id: 3 },
         strangers: { rule: 'repeated', type: 'Stranger', id: 4 },
         heard: { rule: 'repeated', type: 'string', id: 5 },
+        plenty: { rule: 'repeated', type: 'string', id: 6 },
+        lead: { type: 'bool', id: 7 },
       },
     },
   },
