Stop machines from going to and fro between shares

Cause: a want did not say which zones its other tasks bar, so the lead moved boxes that could not serve it, and back; services moved along every second. Wants now name barred zones, and what was moved lately stays.

--- a/packages/core/src/lead.ts
+++ b/packages/core/src/lead.ts
@@ -48,6 +48,8 @@
   private readonly returns = new Map<number, string[]>();
   private readonly moves = new Map<string, Ms>();
   private nextRentAt: Ms = 0;
+  private readonly movedAt = new Map<string, Ms>();
+  private clearedAt: Ms = -1e12;
 
   constructor(
     private readonly cx: Context,
@@ -82,6 +84,7 @@
 
   machineGone(name: string, now: Ms): void {
     this.goneAt.set(name, now);
+    this.movedAt.delete(name);
     this.booting.delete(name);
     if (this.goneAt.size > 2000) {
       const first = this.goneAt.keys().next().value;
@@ -135,7 +138,12 @@
   }
 
   private suits(d: PeerDemand, type: string, zone: string, spot: boolean): boolean {
-    return (d.types.length === 0 || d.types.includes(type)) && (d.zone === '' || d.zone === zone) && (d.spot || !spot);
+    return (
+      (d.types.length === 0 || d.types.includes(type)) &&
+      (d.zone === '' || d.zone === zone) &&
+      !d.notZones.includes(zone) &&
+      (d.spot || !spot)
+    );
   }
 
   // ---- grants
@@ -232,6 +240,11 @@
         for (const p of s.machines) {
           const m = table.machines.get(p.name);
           if (!m || m.share !== s.share || m.moveTo >= 0 || m.retire || taken.has(p.name) || !m.cap) continue;
+          // A machine that was moved lately, or bears services that would have to move, stays
+          // for a while: going to and fro would serve nobody.
+          const moved = this.movedAt.get(p.name) ?? -1e12;
+          if (now - moved < (p.tasks > 0 ? 30_000 : 3000)) continue;
+          if (p.services > 0 && (w.d.waitS < 3 || now - this.clearedAt < 3000)) continue;
           if (p.firmRank >= w.d.rank || copies(w.d, m.cap) < 1) continue;
           if (!this.suits(w.d, m.cap.name, table.zoneNames.name(m.zone), m.spot)) continue;
           if (
@@ -253,7 +266,11 @@
           options.push({
             m,
             p,
-            score: (p.tasks > 0 ? 100 + 10 * p.tasks : 0) + (w.d.gpus === 0 && m.cap.gpus > 0 ? 50 : 0) - Math.min(n, w.left),
+            score:
+              p.services * 200 +
+              (p.tasks > 0 ? 100 + 10 * p.tasks : 0) +
+              (w.d.gpus === 0 && m.cap.gpus > 0 ? 50 : 0) -
+              Math.min(n, w.left),
           });
         }
       }
@@ -264,6 +281,9 @@
         budget--;
         w.left -= copies(w.d, o.m.cap as MachineType);
         this.order(o.m, w.share, now);
+        if (o.p.services === 0) continue;
+        this.clearedAt = now;
+        break;
       }
     }
   }
@@ -282,6 +302,7 @@
   }
 
   private order(m: Machine, share: number, now: Ms): void {
+    this.movedAt.set(m.name, now);
     this.moves.set(m.name, now);
     this.cx.log('debug', 'move', { machine: m.name, from: m.share, to: share });
     this.cx.writer.add({
--- a/packages/core/src/owner.ts
+++ b/packages/core/src/owner.ts
@@ -190,6 +190,7 @@
     if (p.stop === null || graceS < p.stop) {
       p.stop = graceS;
       p.stopSentAt = -1e12;
+      p.job.lastStop = this.now;
     }
   }
 
@@ -280,6 +281,17 @@
       p.phase = 'there';
       if (t.state === 'running' && was !== 'running') {
         p.ranSince = now;
+        const sec = (a: Ms, b: Ms) => Math.round((b - a) / 100) / 10;
+        this.cx.log('debug', 'task runs', {
+          task: `${j.spec.id}/${p.index}`,
+          cls: j.spec.cls,
+          machine: m.name,
+          type: m.cap?.name,
+          sinceSubmit: sec(j.arrivedAt, now),
+          sincePlan: sec(p.plannedAt, now),
+          gb: j.spec.imageGb,
+          cached: m.images.has(j.image),
+        });
         m.images.delete(j.image);
         m.images.set(j.image, j.spec.imageGb);
         this.trimImages(m);
@@ -1034,6 +1046,8 @@
     for (const m of this.cx.table.machines.values()) {
       if (m.share !== share || !m.cap || m.spot) continue;
       const move = services(m);
+      // What was moved lately stays where it is: moving it on would keep it from running.
+      if (move.some((p) => now - p.job.lastStop < 60_000)) continue;
       if (move.length === 0 || move.length > (m.cap.gpus > 0 ? 12 : 4)) continue;
       const tried = rooms
         .filter((r) => r.machine !== m && r.machine.placements.size > 0 && this.wider(r.machine, m))
@@ -1303,6 +1317,7 @@
         tasks: m.placements.size,
         firmRank,
         idleS: m.placements.size === 0 ? (now - m.idleSince) / 1000 : 0,
+        services: [...m.placements.values()].filter((p) => p.phase !== 'exited' && p.job.spec.shape === 'service').length,
       });
     }
     // Alike wants are told as one.
@@ -1311,7 +1326,22 @@
       if (u.job.share !== share) continue;
       const s = u.job.spec;
       const gang = s.shape === 'gang';
-      const key = [s.cpus, s.gpus, s.memory, s.types?.join(',') ?? '', s.zone ?? '', s.spot, s.rank, u.within, s.shape].join('/');
+      const counts = zoneCounts(u.job);
+      const notZones = gang
+        ? []
+        : this.cx.settings.zones.filter((z) => !zoneAllows(u.job, counts, this.cx.table.zoneNames.find(z)));
+      const key = [
+        s.cpus,
+        s.gpus,
+        s.memory,
+        s.types?.join(',') ?? '',
+        s.zone ?? '',
+        s.spot,
+        s.rank,
+        u.within,
+        s.shape,
+        notZones,
+      ].join('/');
       const waitS = (now - Math.max(u.job.arrivedAt, u.job.waitsSince)) / 1000;
       const slackS = Math.max(-1e4, Math.min(1e4, (this.dueOf(u.job, now) - now) / 1000));
       const old = demands.get(key);
@@ -1335,6 +1365,7 @@
         gang,
         waitS,
         slackS,
+        notZones,
       });
     }
     return { share, machines, demands: [...demands.values()] };
--- a/packages/wire/src/peer.ts
+++ b/packages/wire/src/peer.ts
@@ -12,6 +12,8 @@
   firmRank: number;
   /** seconds since its last task ended */
   idleS: number;
+  /** services on it, which a move would have to stop */
+  services: number;
 }
 
 /** Work of a share that has no room. */
@@ -30,6 +32,8 @@
   waitS: number;
   /** seconds until it should start, by its objectives */
   slackS: number;
+  /** zones that its other tasks bar */
+  notZones: string[];
 }
 
 export interface PeerShare {
@@ -63,6 +67,7 @@
         tasks: { type: 'uint32', id: 5 },
         firmRank: { type: 'sint32', id: 6 },
         idleS: { type: 'double', id: 7 },
+        services: { type: 'uint32', id: 8 },
       },
     },
     Demand: {
@@ -79,6 +84,7 @@
         gang: { type: 'bool', id: 10 },
         waitS: { type: 'double', id: 11 },
         slackS: { type: 'double', id: 12 },
+        notZones: { rule: 'repeated', type: 'string', id: 13 },
       },
     },
     Share: {
