--- a/packages/core/src/owner.ts
+++ b/packages/core/src/owner.ts
@@ -613,7 +613,11 @@
     const to = m.moveTo;
     this.cx.writer.add({
       key: KEY.grant(m.name),
-      value: () => ({ ...this.cx.table.grantOf(m), s: to }),
+      value: () => ({
+        ...this.cx.table.grantOf(m),
+        s: to,
+        im: [...m.images].slice(-24).map(([i, gb]): [string, number] => [this.cx.table.imageNames.name(i), gb]),
+      }),
       guard: m.grantStamp,
       also: this.also(m.share),
       urgency: 1,
--- a/packages/core/src/table.ts
+++ b/packages/core/src/table.ts
@@ -27,6 +27,8 @@
   mv?: number;
   /** to be given back */
   x?: boolean;
+  /** images it surely has, with their sizes: known to the share that hands it over */
+  im?: [string, number][];
   /** raises the stamp when the record is written again */
   n?: number;
 }
@@ -227,6 +229,7 @@
       m.resolved = false;
       moved = true;
     }
+    if (moved && g.im) for (const [name, gb] of g.im) m.images.set(this.imageNames.index(name), gb);
     if (g.a) m.addr = g.a;
     m.grantStamp = entry.stamp;
     m.moveTo = g.mv ?? -1;
