--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -214,30 +214,55 @@
       return;
     }
     const holder = this.table.holder(m.share)?.holder.node ?? null;
-    if (holder === this.settings.node) {
-      if (!this.owner.mayAct(m.share, now)) {
-        this.emit({ t: 'answer', id, status: 503, body: { error: 'not entitled' } });
-        return;
-      }
-      if (r.addr) m.addr = r.addr;
-      this.owner.observe(m, r, now);
-      this.emit({ t: 'answer', id, status: 200, body: reportAnswer(this.table.token(m), []) });
-      this.after(now);
+    if (holder === this.settings.node && !this.owner.mayAct(m.share, now)) {
+      this.emit({ t: 'answer', id, status: 503, body: { error: 'not entitled' } });
       return;
     }
-    if (holder !== null && this.peerAlive(holder, now)) {
-      this.emit({ t: 'answer', id, status: 421, body: goHome(holder) });
+    // Workers stay with a controller of their own zone: a cut between zones then costs
+    // them nothing, where finding another controller could take longer than their lease.
+    const near = this.nearNode(r.zone, holder, now);
+    if (near !== this.settings.node) {
+      this.emit({ t: 'answer', id, status: 421, body: goHome(near) });
       return;
     }
-    // A keeper: the work must not die because its owner did, or can't be reached from here.
-    this.heard.set(r.machine, now);
     const stops: Command[] = [];
-    for (const t of r.tasks) {
-      if (t.state !== 'exited' && this.table.finals.get(t.job) === 'cancelled') {
-        stops.push({ op: 'stop', job: t.job, index: t.index, attempt: t.attempt, graceS: 0 });
+    if (holder === this.settings.node) {
+      if (r.addr) m.addr = r.addr;
+      this.owner.observe(m, r, now);
+    } else {
+      // A keeper: the work must not die because its owner did, or can't be reached from here.
+      this.heard.set(r.machine, now);
+      if (holder !== null && this.peerAlive(holder, now)) this.emit({ t: 'relay', to: holder, report: r });
+      for (const t of r.tasks) {
+        if (t.state !== 'exited' && this.table.finals.get(t.job) === 'cancelled') {
+          stops.push({ op: 'stop', job: t.job, index: t.index, attempt: t.attempt, graceS: 0 });
+        }
       }
     }
     this.emit({ t: 'answer', id, status: 200, body: reportAnswer(this.table.token(m), stops) });
+    this.after(now);
+  }
+
+  /** The controller that a worker of this zone should report to, as far as is seen from here. */
+  private nearNode(zone: string, holder: string | null, now: Ms): string {
+    const me = this.settings.node;
+    const alive = (n: string) => n === me || this.peerAlive(n, now);
+    const zoneOf = (n: string) => this.settings.nodes.find((x) => x.name === n)?.zone;
+    if (holder !== null && zoneOf(holder) === zone && alive(holder)) return holder;
+    if (this.settings.zone === zone) return me;
+    const near = this.settings.nodes.find((n) => n.zone === zone && alive(n.name));
+    if (near) return near.name;
+    return holder !== null && alive(holder) ? holder : me;
+  }
+
+  /** A report that a keeper passed on. */
+  relayed(r: Report, now: Ms): void {
+    this.now = now;
+    const m = this.table.machines.get(r.machine);
+    if (!m || this.table.holder(m.share)?.holder.node !== this.settings.node || !this.owner.mayAct(m.share, now)) return;
+    if (r.addr) m.addr = r.addr;
+    this.owner.observe(m, r, now);
+    this.after(now);
   }
 
   commandResult(id: number, r: Parameters<Owner['commandResult']>[1], now: Ms): void {
--- a/packages/core/src/model.ts
+++ b/packages/core/src/model.ts
@@ -1,4 +1,4 @@
-import type { Command, Guard, JobSpec, MachineType, PeerStatus, Rental, TaskReport, Write } from '@archpost/wire';
+import type { Command, Guard, JobSpec, MachineType, PeerStatus, Rental, Report, TaskReport, Write } from '@archpost/wire';
 
 /** Milliseconds of a steady clock; the core never reads one, every input brings its own. */
 export type Ms = number;
@@ -61,6 +61,7 @@
   | { t: 'types' }
   | { t: 'answer'; id: number; status: number; body: unknown; retryAfterS?: number }
   | { t: 'status'; status: PeerStatus }
+  | { t: 'relay'; to: string; report: Report }
   | { t: 'log'; level: Level; msg: string; data?: Record<string, unknown> };
 
 /** Hands out dense indices for names; index 0 is the first name seen. */
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -1,5 +1,5 @@
 import net from 'node:net';
-import { decodeStatus, encodeStatus, type PeerStatus } from '@archpost/wire';
+import { decodePeer, encodePeer, type PeerMessage } from '@archpost/wire';
 import { interval, Subject } from 'rxjs';
 
 const MAX_FRAME = 4 << 20;
@@ -10,7 +10,7 @@
  * bytes and a protobuf message.
  */
 export class Peers {
-  readonly status$ = new Subject<PeerStatus>();
+  readonly message$ = new Subject<PeerMessage>();
   readonly down$ = new Subject<string>();
   private readonly out = new Map<string, net.Socket>();
   private server: net.Server | null = null;
@@ -65,10 +65,10 @@
         const frame = kept.subarray(4, 4 + n);
         kept = kept.subarray(4 + n);
         try {
-          const status = decodeStatus(frame);
-          if (!this.others.some((o) => o.name === status.node)) throw new Error('unknown node');
-          node = status.node;
-          this.status$.next(status);
+          const message = decodePeer(frame);
+          if (!this.others.some((o) => o.name === message.node)) throw new Error('unknown node');
+          node = message.node;
+          this.message$.next(message);
         } catch {
           s.destroy();
           return;
@@ -77,12 +77,14 @@
     });
   }
 
-  send(status: PeerStatus): void {
-    const body = encodeStatus(status);
+  /** Sends to one controller, or to all. */
+  send(message: PeerMessage, to: string | null): void {
+    const body = encodePeer(message);
     const head = Buffer.alloc(4);
     head.writeUInt32BE(body.length);
     const frame = Buffer.concat([head, body]);
-    for (const s of this.out.values()) {
+    for (const [name, s] of this.out) {
+      if (to !== null && name !== to) continue;
       // Old news help nobody: a link that is behind gets none until it has caught up.
       if (!s.connecting && s.writableLength < 256 * 1024) s.write(frame);
     }
--- a/packages/server/src/service.ts
+++ b/packages/server/src/service.ts
@@ -48,7 +48,11 @@
     this.store.loaded$.subscribe((e) => inbox.decision(() => core.loaded(e.rows, e.revision, steady())));
     this.store.changes$.subscribe((e) => inbox.decision(() => core.changes(e.changes, e.revision, e.asOf, steady())));
     this.store.lease$.subscribe((e) => inbox.decision(() => core.leaseState(e.permit, e.validUntil, steady())));
-    this.peers.status$.subscribe((s) => inbox.decision(() => core.peerStatus(s, steady())));
+    this.peers.message$.subscribe((m) => {
+      const { report, status } = m;
+      if (report) inbox.report(() => core.relayed(report, steady()));
+      if (status) inbox.decision(() => core.peerStatus(status, steady()));
+    });
     this.peers.down$.subscribe((n) => inbox.decision(() => core.peerDown(n, steady())));
     this.store.start();
     const peer = splitAddr(this.settings.peerListen);
@@ -111,7 +115,10 @@
         void this.cloud.types().then((l) => back(() => core.types(l, steady())));
         break;
       case 'status':
-        this.peers.send(e.status);
+        this.peers.send({ node: this.settings.core.node, status: e.status, report: null }, null);
+        break;
+      case 'relay':
+        this.peers.send({ node: this.settings.core.node, status: null, report: e.report }, e.to);
         break;
       case 'log':
         this.log[e.level](e.data ?? {}, e.msg);
--- a/packages/wire/src/peer.ts
+++ b/packages/wire/src/peer.ts
@@ -1,4 +1,5 @@
 import protobuf from 'protobufjs/light.js';
+import type { Report } from './workers.js';
 
 /** What one share's owner tells of a machine. */
 export interface PeerMachine {
@@ -110,6 +111,38 @@
         spot: { type: 'bool', id: 5 },
       },
     },
+    Task: {
+      fields: {
+        job: { type: 'string', id: 1 },
+        index: { type: 'uint32', id: 2 },
+        attempt: { type: 'uint64', id: 3 },
+        state: { type: 'string', id: 4 },
+        why: { type: 'string', id: 5 },
+        saved: { type: 'bool', id: 6 },
+      },
+    },
+    Report: {
+      fields: {
+        machine: { type: 'string', id: 1 },
+        addr: { type: 'string', id: 2 },
+        type: { type: 'string', id: 3 },
+        zone: { type: 'string', id: 4 },
+        spot: { type: 'bool', id: 5 },
+        session: { type: 'uint64', id: 6 },
+        seq: { type: 'uint64', id: 7 },
+        token: { type: 'uint64', id: 8 },
+        noticeS: { type: 'double', id: 9 },
+        tasks: { rule: 'repeated', type: 'Task', id: 10 },
+      },
+    },
+    Message: {
+      fields: {
+        status: { type: 'Status', id: 1 },
+        /** a worker's report, passed on to the owner of its machine by a keeper */
+        report: { type: 'Report', id: 2 },
+        node: { type: 'string', id: 3 },
+      },
+    },
     Status: {
       fields: {
         node: { type: 'string', id: 1 },
@@ -123,12 +156,34 @@
     },
   },
 });
-const Status = root.lookupType('Status');
+const Message = root.lookupType('Message');
+
+/** What one controller says to another: how it stands, or a report that it passes on. */
+export interface PeerMessage {
+  node: string;
+  status: PeerStatus | null;
+  report: Report | null;
+}
 
-export function encodeStatus(s: PeerStatus): Uint8Array {
-  return Status.encode(s as unknown as protobuf.Message).finish();
+export function encodePeer(m: PeerMessage): Uint8Array {
+  const report = m.report && {
+    ...m.report,
+    // protobuf knows no null: a machine without a notice has a negative one.
+    noticeS: m.report.noticeS ?? -1,
+    tasks: m.report.tasks.map((t) => ({ ...t, why: t.why ?? '' })),
+  };
+  return Message.encode({
+    node: m.node,
+    status: m.status ?? undefined,
+    report: report ?? undefined,
+  } as unknown as protobuf.Message).finish();
 }
 
-export function decodeStatus(bytes: Uint8Array): PeerStatus {
-  return Status.toObject(Status.decode(bytes), { defaults: true, arrays: true }) as unknown as PeerStatus;
+export function decodePeer(bytes: Uint8Array): PeerMessage {
+  const m = Message.toObject(Message.decode(bytes), { defaults: true, arrays: true, longs: Number }) as unknown as PeerMessage;
+  if (m.report) {
+    if ((m.report.noticeS ?? -1) < 0) m.report.noticeS = null;
+    for (const t of m.report.tasks) if ((t.why as string) === '') t.why = null;
+  }
+  return m;
 }
--- a/test/stand-ins.ts
+++ b/test/stand-ins.ts
@@ -453,6 +453,12 @@
       for (const n of cluster.nodes) {
         if (n !== this && n.up && !cluster.cut(this.name, n.name)) n.core.peerStatus(copy, cluster.now);
       }
+    } else if (e.t === 'relay') {
+      const n = cluster.node(e.to);
+      if (n.up && !cluster.cut(this.name, n.name)) {
+        n.core.relayed(structuredClone(e.report), cluster.now);
+        n.run();
+      }
     } else if (e.t === 'return') {
       if (cluster.cloudDown) return later(100, () => core.returned(e.id, false, cluster.now));
       for (const name of e.machines) cluster.remove(name);
