--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -119,7 +119,10 @@
     const c = this.table.apply(key, entry, this.now);
     if (c.holding !== undefined) this.holdings.changed(c.holding);
     if (c.machine) {
-      if (c.machine.share < 0) this.lead.machineGone(c.machine.name, this.now);
+      if (c.machine.share < 0) {
+        this.lead.machineGone(c.machine.name, this.now);
+        this.lead.placeFree(c.machine, this.now);
+      }
       this.owner.machineChanged(c.machine, c.moved === true, this.now);
     }
     if (c.job) this.owner.jobChanged(c.job);
--- a/packages/core/src/lead.ts
+++ b/packages/core/src/lead.ts
@@ -92,6 +92,13 @@
     }
   }
 
+  /** A machine that is gone leaves a place that the cloud can fill again. */
+  placeFree(m: Machine, now: Ms): void {
+    const mk = this.market(this.cx.table.typeNames.name(m.type), this.cx.table.zoneNames.name(m.zone), m.spot);
+    mk.notBefore = Math.min(mk.notBefore, now + 500);
+    mk.refusals = 0;
+  }
+
   stranger(s: Stranger, now: Ms): void {
     this.strangers.set(s.machine, { s, at: now });
   }
