Tell the lead by way of the state service while a zone is cut off

Cause: the lead neither granted new machines nor rented for the cut-off zone's share until the cut ended, since it hears of both by peer links only.

--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -116,6 +116,7 @@
 
   private keyChanged(key: string, entry: { value: unknown; stamp: number } | null): void {
     if (!key.startsWith(KEY.root)) return;
+    if (key.startsWith(KEY.status('')) && entry) this.statusByState(entry.value as PeerStatus);
     const c = this.table.apply(key, entry, this.now);
     if (c.holding !== undefined) this.holdings.changed(c.holding);
     if (c.machine) {
@@ -317,6 +318,51 @@
     if (p) p.up = false;
   }
 
+  /** Used only while the link itself is silent: it is slower, and costs writes. */
+  private statusByState(status: PeerStatus): void {
+    if (status.node === this.settings.node || this.peerAlive(status.node, this.now)) return;
+    if (!this.replica.loaded) return;
+    this.peers.set(status.node, { status, at: this.now, up: false });
+  }
+
+  /**
+   * A zone that is cut off still reaches the state service: without this, the lead would
+   * neither grant its new machines nor rent for its waiting work until the cut ends.
+   */
+  private tellByState(now: Ms): void {
+    const lead = this.table.holder('lead')?.holder.node ?? null;
+    if (lead === null || lead === this.settings.node || this.peerAlive(lead, now)) return;
+    if (!this.replica.loaded || !this.leaseValid(now) || this.telling || now - this.toldAt < 2000) return;
+    this.toldAt = now;
+    this.telling = true;
+    const full = this.status(now);
+    const status: PeerStatus = { ...full, running: [], heard: full.heard.slice(0, 100), strangers: full.strangers.slice(0, 20) };
+    const limit = this.settings.state.valueKb * 1024 * 0.85;
+    if (JSON.stringify(status).length > limit) {
+      // Machines that can't be moved anyway need not be told.
+      status.shares = status.shares.map((s) => ({
+        ...s,
+        machines: s.machines.filter((m) => m.tasks === 0).slice(0, 15),
+        demands: s.demands.slice(0, 8),
+      }));
+    }
+    if (JSON.stringify(status).length > limit) status.heard = [];
+    const key = KEY.status(this.settings.node);
+    this.writer.add({
+      key,
+      value: () => status,
+      guard: this.replica.get(key)?.stamp ?? 0,
+      urgency: 3,
+      until: now + 2000,
+      done: () => {
+        this.telling = false;
+      },
+    });
+  }
+
+  private telling = false;
+  private toldAt: Ms = -1e12;
+
   private status(now: Ms): PeerStatus {
     for (const [k, t] of this.heard) if (now - t > 4000) this.heard.delete(k);
     return {
@@ -354,6 +400,7 @@
       this.lastStatus = now;
       this.emit({ t: 'status', status: this.status(now) });
     }
+    this.tellByState(now);
     this.after(now);
   }
 
--- a/packages/core/src/lead.ts
+++ b/packages/core/src/lead.ts
@@ -133,7 +133,7 @@
   private shares(now: Ms): Map<number, PeerShare> {
     const out = new Map<number, PeerShare>();
     for (const p of this.cx.peers.values()) {
-      if (now - p.at > 4000) continue;
+      if (now - p.at > 5000) continue;
       for (const s of p.status.shares) if (this.cx.table.holder(s.share)?.holder.node === p.status.node) out.set(s.share, s);
     }
     for (const share of this.owner.held.keys()) out.set(share, this.owner.share(share, now));
@@ -159,7 +159,7 @@
     const { table, writer } = this.cx;
     const all = new Map<string, Stranger>();
     for (const s of this.strangersNow(now)) all.set(s.machine, s);
-    for (const p of this.cx.peers.values()) if (now - p.at < 4000) for (const s of p.status.strangers) all.set(s.machine, s);
+    for (const p of this.cx.peers.values()) if (now - p.at < 5000) for (const s of p.status.strangers) all.set(s.machine, s);
     for (const s of all.values()) {
       if (table.machines.has(s.machine) || this.granting.has(s.machine)) continue;
       const gone = this.goneAt.get(s.machine);
--- a/packages/core/src/table.ts
+++ b/packages/core/src/table.ts
@@ -10,6 +10,8 @@
   job: (id: string) => `a/j/${id}`,
   progress: (id: string, chunk: number) => `a/p/${id}/${chunk}`,
   types: 'a/types',
+  /** what a controller tells by way of the state service while its link to the lead is down */
+  status: (node: string) => `a/s/${node}`,
 };
 
 export interface Holder {
--- a/test/safety.test.ts
+++ b/test/safety.test.ts
@@ -178,3 +178,12 @@
   assert.equal(c.ask('run-b', c.node('n1')), 'aborted');
   assert.equal(c.ask('run-b', c.node('n2')), '503');
 });
+
+test('a machine that comes up in a cut-off zone is granted by way of the state service', () => {
+  const c = cluster(8);
+  const west = (x: string) => x === 'n1' || c.workers.find((w) => w.name === x)?.zone === 'west';
+  c.cut = (a, b) => west(a) !== west(b);
+  c.run(5);
+  c.machine('late', 'small', 'west');
+  c.until('granted', () => c.node('n1').core.table.machines.has('late'), 25);
+});
