Remember over restarts what images the machines have

Cause: trains of Leith wait mostly for images (11 GB at 0.2 GB/s), and an owner that restarted no longer knew which machines have them.

--- a/packages/core/src/model.ts
+++ b/packages/core/src/model.ts
@@ -213,6 +213,7 @@
   /** tasks reported that belong to no job or place of ours */
   strays: TaskReport[] = [];
   images = new Map<number, number>();
+  cacheQueued = false;
   errorJobs = new Set<string>();
   /** a return to the cloud is wanted, because: */
   giveBack = '';
--- a/packages/core/src/owner.ts
+++ b/packages/core/src/owner.ts
@@ -52,6 +52,7 @@
     for (const m of this.cx.table.machines.values()) {
       if (m.share !== share) continue;
       this.resetMachine(m, now);
+      this.cx.table.recallImages(m);
       m.suspect = true;
     }
     for (const j of this.cx.table.jobs.values()) if (j.share === share) this.resetJob(j);
@@ -292,9 +293,11 @@
           gb: j.spec.imageGb,
           cached: m.images.has(j.image),
         });
+        const fresh = !m.images.has(j.image);
         m.images.delete(j.image);
         m.images.set(j.image, j.spec.imageGb);
         this.trimImages(m);
+        if (fresh) this.storeImages(m);
       }
       return;
     }
@@ -316,6 +319,23 @@
     if (j.spec.shape === 'gang' && j.state === 'live' && j.doneCount < j.spec.tasks) this.failGang(j);
   }
 
+  /** A restart would forget what the machines have at hand, and fetches can take a minute. */
+  private storeImages(m: Machine): void {
+    if (m.cacheQueued) return;
+    m.cacheQueued = true;
+    const key = KEY.cache(m.name);
+    this.cx.writer.add({
+      key,
+      value: () => this.cx.table.imagesOf(m),
+      guard: this.cx.replica.get(key)?.stamp ?? 0,
+      urgency: 4,
+      until: this.now + 15_000,
+      done: () => {
+        m.cacheQueued = false;
+      },
+    });
+  }
+
   /** What the machine surely keeps: the most recently used images that fit its cache. */
   private trimImages(m: Machine): void {
     let sum = 0;
@@ -613,11 +633,7 @@
     const to = m.moveTo;
     this.cx.writer.add({
       key: KEY.grant(m.name),
-      value: () => ({
-        ...this.cx.table.grantOf(m),
-        s: to,
-        im: [...m.images].slice(-24).map(([i, gb]): [string, number] => [this.cx.table.imageNames.name(i), gb]),
-      }),
+      value: () => ({ ...this.cx.table.grantOf(m), s: to }),
       guard: m.grantStamp,
       also: this.also(m.share),
       urgency: 1,
@@ -678,6 +694,17 @@
   }
 
   private dropGrant(m: Machine): void {
+    const cache = KEY.cache(m.name);
+    const kept = this.cx.replica.get(cache);
+    if (kept)
+      this.cx.writer.add({
+        key: cache,
+        value: () => undefined,
+        guard: kept.stamp,
+        urgency: 4,
+        until: this.now + 15_000,
+        done: () => {},
+      });
     this.cx.writer.add({
       key: KEY.grant(m.name),
       value: () => undefined,
--- a/packages/core/src/table.ts
+++ b/packages/core/src/table.ts
@@ -12,6 +12,8 @@
   types: 'a/types',
   /** what a controller tells by way of the state service while its link to the lead is down */
   status: (node: string) => `a/s/${node}`,
+  /** the images that a machine surely has, for whoever owns it next */
+  cache: (machine: string) => `a/c/${machine}`,
 };
 
 export interface Holder {
@@ -29,8 +31,6 @@
   mv?: number;
   /** to be given back */
   x?: boolean;
-  /** images it surely has, with their sizes: known to the share that hands it over */
-  im?: [string, number][];
   /** raises the stamp when the record is written again */
   n?: number;
 }
@@ -124,6 +124,10 @@
     if (kind === 'j/') return this.applyJob(key.slice(4), entry, now);
     if (kind === 'p/') return this.applyProgress(key.slice(4), entry);
     if (kind === 'g/') return this.applyGrant(key.slice(4), entry, now);
+    if (kind === 'c/') {
+      if (entry) this.caches.set(key.slice(4), entry.value as [string, number][]);
+      else this.caches.delete(key.slice(4));
+    }
     if (key === KEY.types && entry) this.setTypes(entry.value as MachineType[]);
     return {};
   }
@@ -174,6 +178,18 @@
     return { job };
   }
 
+  private readonly caches = new Map<string, [string, number][]>();
+
+  /** What is stored of the machine's images, oldest use first. */
+  recallImages(m: Machine): void {
+    m.images.clear();
+    for (const [name, gb] of this.caches.get(m.name) ?? []) m.images.set(this.imageNames.index(name), gb);
+  }
+
+  imagesOf(m: Machine): [string, number][] {
+    return [...m.images].slice(-30).map(([i, gb]): [string, number] => [this.imageNames.name(i), gb]);
+  }
+
   /** progress read before its job's record */
   private readonly early = new Map<string, string>();
 
@@ -231,7 +247,7 @@
       m.resolved = false;
       moved = true;
     }
-    if (moved && g.im) for (const [name, gb] of g.im) m.images.set(this.imageNames.index(name), gb);
+    if (moved) this.recallImages(m);
     if (g.a) m.addr = g.a;
     m.grantStamp = entry.stamp;
     m.moveTo = g.mv ?? -1;
