Take shares again after a long outage; send no worker to a refused controller

After an outage longer than the lease, a holder whose key still stood never took it up again. A controller that the state service refuses answered 503 while the others kept sending it the workers of its zone, until their leases ran out. Both have a trace in test/safety.test.ts.

--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -250,7 +250,8 @@
   /** The controller that a worker of this zone should report to, as far as is seen from here. */
   private nearNode(zone: string, holder: string | null, now: Ms): string {
     const me = this.settings.node;
-    const alive = (n: string) => n === me || this.peerAlive(n, now);
+    // One that the state service refuses answers no worker, so none must be sent to it.
+    const alive = (n: string) => n === me || (this.peerAlive(n, now) && this.peers.get(n)?.status.entitled === true);
     const zoneOf = (n: string) => this.settings.nodes.find((x) => x.name === n)?.zone;
     if (holder !== null && zoneOf(holder) === zone && alive(holder)) return holder;
     if (this.settings.zone === zone) return me;
@@ -373,6 +374,7 @@
       heard: [...this.heard.keys()],
       plenty: this.lead.leading ? this.lead.plenty() : [],
       lead: this.lead.leading,
+      entitled: this.replica.loaded && this.leaseValid(now),
     };
   }
 
--- a/packages/core/src/holdings.ts
+++ b/packages/core/src/holdings.ts
@@ -69,7 +69,9 @@
       const cur = cx.table.holders.get(name);
       if (cur) {
         this.absentSince.delete(name);
-        if (cur.holder.node === me && cur.holder.boot !== cx.boot) this.claim(name, cur.stamp, now);
+        // Ours from before a restart, or from before our lease seemed over (the service was
+        // away for long, and kept it): taken anew, so that the token rises.
+        if (cur.holder.node === me && !this.mine.has(name)) this.claim(name, cur.stamp, now);
         continue;
       }
       if (this.mine.has(name)) continue;
--- a/packages/wire/src/peer.ts
+++ b/packages/wire/src/peer.ts
@@ -55,6 +55,8 @@
   /** told by the lead: machine types that the cloud still has, ordinary ones */
   plenty: string[];
   lead: boolean;
+  /** may answer workers: its state lease stands */
+  entitled: boolean;
 }
 
 const root = protobuf.Root.fromJSON({
@@ -152,6 +154,7 @@
         heard: { rule: 'repeated', type: 'string', id: 5 },
         plenty: { rule: 'repeated', type: 'string', id: 6 },
         lead: { type: 'bool', id: 7 },
+        entitled: { type: 'bool', id: 9 },
       },
     },
   },
--- a/test/safety.test.ts
+++ b/test/safety.test.ts
@@ -187,3 +187,47 @@
   c.machine('late', 'small', 'west');
   c.until('granted', () => c.node('n1').core.table.machines.has('late'), 25);
 });
+
+test('after an outage longer than a lease the holders take their shares again', () => {
+  const c = cluster();
+  c.submit(job('run-x', { shape: 'service', rank: 3, cls: 'serve' }));
+  c.until('running', () => c.running('run-x') === 1);
+  c.stateDown = true;
+  c.run(45);
+  for (const n of c.nodes) assert.equal(n.core.owner.held.size, 0);
+  c.stateDown = false;
+  c.until('running again', () => c.running('run-x') === 1, 30);
+  c.submit(job('run-y', { tasks: 2, estimateS: 3 }));
+  c.until('done', () => c.ask('run-y') === 'done', 40);
+});
+
+test('a single node that the state service refuses loses its shares to the others, and one comes home later', () => {
+  const c = cluster();
+  c.node('n1').refused = true;
+  c.until('taken over', () => c.nodes[0]?.core.table.holder(1)?.holder.node !== 'n1', 40);
+  c.submit(job('run-f', { team: 'blue', tasks: 4, estimateS: 3 }), c.node('n0'));
+  c.until('done', () => c.ask('run-f', c.node('n0')) === 'done', 60);
+  c.node('n1').refused = false;
+  c.until('home again', () => c.nodes[0]?.core.table.holder(1)?.holder.node === 'n1', 60);
+});
+
+test('a bad job fails on many machines and costs none of them; a faulty machine is left', () => {
+  const c = cluster(6);
+  const bad = c.workers[0];
+  assert.ok(bad);
+  bad.fails = true;
+  for (let i = 0; i < 3; i++) c.submit(job(`run-${i}`, { tasks: 8, estimateS: 3 }));
+  c.until('all done', () => c.finished.size === 24, 90);
+  assert.ok(bad.dead, 'the faulty machine was given back');
+  assert.equal(c.workers.filter((w) => w.dead).length, 1);
+});
+
+test('a machine that is taken back with a notice is left, and its service goes on elsewhere', () => {
+  const c = cluster(6);
+  c.submit(job('run-n', { shape: 'service', rank: 3, cls: 'serve' }));
+  c.until('running', () => c.running('run-n') === 1);
+  const w = c.workers.find((x) => x.name === c.on('run-n')[0]);
+  assert.ok(w);
+  w.noticeS = 10;
+  c.until('moved', () => c.running('run-n') === 1 && !c.on('run-n').includes(w.name), 8);
+});
