--- a/packages/cloud/src/index.ts
+++ b/packages/cloud/src/index.ts
@@ -71,8 +71,4 @@
     const r = await this.call('POST', PATHS.machinesReturn, returnBody(machines));
     return r.status === 200;
   }
-
-  close(): void {
-    this.client.close();
-  }
 }
--- a/packages/core/src/lead.ts
+++ b/packages/core/src/lead.ts
@@ -33,6 +33,8 @@
 export class Lead {
   private since: Ms = -1;
   private stamp = 0;
+  /** machines were granted before this lead began */
+  private takenOver = false;
   private counter = 0;
   private lastRound: Ms = -1e12;
   private lastList: Ms = -1e12;
@@ -65,6 +67,7 @@
 
   gained(stamp: number, now: Ms): void {
     this.since = now;
+    this.takenOver = this.cx.table.machines.size > 0;
     this.stamp = stamp;
     this.counter = 0;
     this.booting.clear();
@@ -360,7 +363,7 @@
 
   private rent(shares: Map<number, PeerShare>, now: Ms): void {
     // A new lead doesn't know what the last one rented: the list will tell.
-    if (now - this.since < 2000 * this.cx.settings.cloud.listLagS + 2000 && this.since > 0 && this.takenOver) return;
+    if (now - this.since < 2000 * this.cx.settings.cloud.listLagS + 2000 && this.takenOver) return;
     if (now < this.nextRentAt || this.bookings.size >= 3) return;
     const { settings, table } = this.cx;
     const held = table.machines.size + this.onTheWay(now).length;
@@ -377,11 +380,6 @@
     this.nextRentAt = now + Math.max(300, 1000 / settings.cloud.rps);
   }
 
-  /** Set where machines were granted before this lead began. */
-  private get takenOver(): boolean {
-    return this.cx.table.machines.size > 0 && this.stamp > 200;
-  }
-
   private options(): { type: MachineType; zone: string; spot: boolean }[] {
     const out: { type: MachineType; zone: string; spot: boolean }[] = [];
     for (const type of this.cx.table.types) {
--- a/packages/core/src/owner.ts
+++ b/packages/core/src/owner.ts
@@ -1,7 +1,7 @@
 import type { Command, PeerDemand, PeerMachine, PeerShare, Report, TaskReport } from '@archpost/wire';
 import type { Context } from './context.js';
 import type { Job, Machine, Ms, Need, Placement } from './model.js';
-import { allowed, copies, domains, fits, placeGang, type Room, take, zoneAllows, zoneCounts } from './placement.js';
+import { allowed, domains, fits, placeGang, type Room, take, zoneAllows, zoneCounts } from './placement.js';
 import { type JobRecord, KEY, packBits } from './table.js';
 
 /** A share that this controller holds. */
@@ -552,7 +552,9 @@
     for (const m of this.cx.table.machines.values()) {
       if (!this.held.has(m.share)) continue;
       const silent = now - m.heardAt;
-      if (silent > silentMs && !m.giveBack && !this.heardElsewhere(m.name, now)) {
+      // Once its notice is over a silent machine is most likely taken.
+      const taken = m.noticeUntil > 0 && now > m.noticeUntil && silent > this.cx.settings.workers.reportS * 1500;
+      if ((silent > silentMs || taken) && !m.giveBack && !this.heardElsewhere(m.name, now)) {
         const cut = this.cutZones.has(m.zone);
         // Cancelled work must be gone in time, whatever the reason for the silence.
         const cancelled = [...m.placements.values()].some((p) => p.job.state === 'cancelled');
@@ -1412,8 +1414,4 @@
     }
     return out;
   }
-
-  copiesFree(m: Machine, need: Need): number {
-    return copies(need, this.roomOf(m));
-  }
 }
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -13,13 +13,11 @@
   readonly message$ = new Subject<PeerMessage>();
   readonly down$ = new Subject<string>();
   private readonly out = new Map<string, net.Socket>();
-  private server: net.Server | null = null;
 
   constructor(private readonly others: { name: string; addr: string }[]) {}
 
   listen(host: string, port: number): Promise<void> {
     const server = net.createServer((s) => this.accept(s));
-    this.server = server;
     return new Promise((resolve, reject) => {
       server.once('error', reject);
       server.listen(port, host, () => resolve());
@@ -89,9 +87,4 @@
       if (!s.connecting && s.writableLength < 256 * 1024) s.write(frame);
     }
   }
-
-  close(): void {
-    this.server?.close();
-    for (const s of this.out.values()) s.destroy();
-  }
 }
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -41,7 +41,6 @@
   private barrierWanted = false;
   private barrierBusy = false;
   private barrierAt = 0;
-  private stopped = false;
   private readonly pauseMs: number;
 
   constructor(
@@ -62,11 +61,6 @@
     void this.watchLoop();
   }
 
-  stop(): void {
-    this.stopped = true;
-    this.client.close();
-  }
-
   private async get(path: string, timeoutMs: number): Promise<{ status: number; body: Record<string, unknown> | null }> {
     const o = await this.client.call({ method: 'GET', path, timeoutMs });
     return o.kind === 'answer' ? { status: o.status, body: unpackMap(o.body) } : { status: 0, body: null };
@@ -77,7 +71,7 @@
   private async leaseLoop(): Promise<void> {
     let permit: number | null = null;
     const every = Math.min(this.ttlMs / 6, 2500);
-    while (!this.stopped) {
+    for (;;) {
       this.budget.force();
       const at = steady();
       const path: string = permit === null ? PATHS.leases : `${PATHS.leases}/${permit}/extend`;
@@ -100,19 +94,16 @@
     }
   }
 
-  /** The lease has ended, a write said: the loop will see it at its next renewal. */
-
   // ---- the copy
 
   private async watchLoop(): Promise<void> {
-    while (!this.stopped) {
+    for (;;) {
       if (!(await this.load())) {
         await sleep(300);
         continue;
       }
       for (;;) {
         const r = await this.read(WATCH_MS, WATCH_MS + 2000);
-        if (this.stopped) return;
         if (r === 'old') break;
         await sleep(r === 'ok' ? this.pauseMs : 300);
       }
@@ -162,7 +153,7 @@
   }
 
   private async barrierLoop(): Promise<void> {
-    while (this.barrierWanted && !this.stopped) {
+    while (this.barrierWanted) {
       const wait = this.barrierAt + 1.5 * this.pauseMs - steady();
       if (wait > 0) await sleep(wait);
       this.barrierWanted = false;
--- /dev/null
+++ b/test/edges.test.ts
@@ -0,0 +1,215 @@
+import assert from 'node:assert/strict';
+import { mkdtempSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { test } from 'node:test';
+import { Job, Machine, placeGang, Replica, type Room, Writer } from '@archpost/core';
+import { decodePeer, encodePeer, parseChanges, parseSubmission } from '@archpost/wire';
+import { Inbox } from '../packages/server/src/inbox.js';
+import { loadSettings, SettingsError } from '../packages/server/src/settings.js';
+import { job, TYPES } from './stand-ins.js';
+
+const SETTINGS = `
+host_name = "a"
+location = "east"
+public_addr = "10.0.0.1:8080"
+peer_listen = "10.0.0.1:8081"
+unknown_field = "is ignored"
+[external]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[params]
+initial_size = 1
+zones = ["east"]
+[[params.teams]]
+name = "red"
+cpus = 0.0
+cpus_max = 0.0
+gpus = 8.0
+gpus_max = 24.0
+[params.workers]
+report_s = 2.0
+lease_s = 12.0
+gang_wait_s = 40.0
+gang_peer_s = 4.0
+cancel_s = 37.0
+[params.state]
+rps = 100.0
+write_rps = 20.0
+value_kb = 16.0
+txn_ops = 12
+[params.cloud]
+rps = 6.0
+list_lag_s = 5.0
+[params.machine_limits]
+cpu_share = 0.136
+mem_mb = 178.0
+max_sockets = 1200
+`;
+
+function file(text: string): string {
+  const path = join(mkdtempSync(join(tmpdir(), 'archpost-')), 'settings.toml');
+  writeFileSync(path, text);
+  return path;
+}
+
+test('settings: unknown fields are ignored; a bad file is named with its field', () => {
+  assert.equal(loadSettings(file(SETTINGS), null).core.node, 'a');
+  const wrong = file(SETTINGS.replace('lease_s = 12.0', 'lease_s = "long"'));
+  assert.throws(
+    () => loadSettings(wrong, null),
+    (e) => e instanceof SettingsError && e.message.includes('params.workers.lease_s') && e.message.includes(wrong),
+  );
+  assert.throws(() => loadSettings(file('host_name = '), null), /not valid TOML/);
+  assert.throws(() => loadSettings('/nowhere/settings.toml', null), /no such file/);
+});
+
+test('overload: reports first, then decisions, then users, and users who waited too long are refused', async () => {
+  let now = 0;
+  const seen: string[] = [];
+  const inbox = new Inbox(
+    () => now,
+    () => {},
+    1500,
+  );
+  inbox.request(
+    () => seen.push('old user'),
+    () => seen.push('old user refused'),
+  );
+  now = 2000;
+  for (let i = 0; i < 6; i++) {
+    inbox.request(
+      () => seen.push(`user ${i}`),
+      () => seen.push(`user ${i} refused`),
+    );
+  }
+  inbox.decision(() => seen.push('decision'));
+  inbox.report(() => {
+    seen.push('report');
+  });
+  inbox.drain();
+  inbox.report(() => seen.push('later report'));
+  inbox.drain();
+  assert.deepEqual(seen, [
+    'report',
+    'decision',
+    'old user refused',
+    'user 0',
+    'user 1',
+    'user 2',
+    'later report',
+    'user 3',
+    'user 4',
+    'user 5',
+  ]);
+});
+
+const wireJob = {
+  ref: 'run-000412',
+  jobclass: 'train',
+  crew: 'red',
+  shape: 'gang',
+  rank: 'urgent',
+  pieces: 16,
+  cores: 8.0,
+  accelerators: 1.0,
+  memory_gb: 64.0,
+  bundle: 'img-07',
+  size_gb: 6.2,
+  builds: ['g8'],
+  yard: null,
+  one_zone: true,
+  spread: false,
+  loaners: true,
+  guess_s: 240.0,
+  snapshot_s: 30.0,
+  stow_s: 4.0,
+  due_s: 900.0,
+};
+
+test('a submission is checked field by field; null may be omitted, unknown fields are ignored', () => {
+  const { yard: _, ...omitted } = wireJob;
+  assert.ok('spec' in parseSubmission({ ...omitted, more: 1 }));
+  for (const [field, value] of [
+    ['ref', 'job-1'],
+    ['pieces', 0],
+    ['pieces', 100_001],
+    ['pieces', 1.5],
+    ['shape', 'circle'],
+    ['rank', 3],
+    ['cores', -1],
+    ['builds', 'g8'],
+    ['loaners', 'yes'],
+  ] as const) {
+    assert.deepEqual(parseSubmission({ ...wireJob, [field]: value }), { field });
+  }
+  const { cores: _c, ...missing } = wireJob;
+  assert.deepEqual(parseSubmission(missing), { field: 'cores' });
+});
+
+test('a removed key has no value in the changes, and must not stop the watch', () => {
+  const r = parseChanges({ ledger: 433, log: [{ remove: 'a/d', stamp: 432 }] });
+  assert.deepEqual(r, { revision: 433, changes: [{ key: 'a/d', value: undefined, stamp: 432 }] });
+});
+
+test('a report passed on between controllers arrives as it was', () => {
+  const report = {
+    machine: 'n-1',
+    addr: '10.1.0.1:9000',
+    type: 'g8',
+    zone: 'a',
+    spot: false,
+    session: 2,
+    seq: 70_000,
+    token: 2 ** 40,
+    noticeS: null,
+    tasks: [{ job: 'run-1', index: 3, attempt: 2 ** 45 + 1, state: 'exited' as const, why: 'done' as const, saved: false }],
+  };
+  assert.deepEqual(decodePeer(encodePeer({ node: 'a', status: null, report })).report, report);
+});
+
+function room(name: string, type: number, zone: number): Room {
+  const cap = TYPES[type];
+  assert.ok(cap);
+  const machine = new Machine(name, '', type, zone, false, cap);
+  return { machine, cpus: cap.cpus, gpus: cap.gpus, memory: cap.memory };
+}
+
+test('a gang takes the finest layer, and in it the smallest domain that holds it', () => {
+  // Zone 0 has three small machines, zone 1 two, and one big one.
+  const rooms = [room('a', 0, 0), room('b', 0, 0), room('c', 0, 0), room('d', 0, 1), room('e', 0, 1), room('f', 1, 1)];
+  const place = (tasks: number, oneZone = false) => {
+    const spec = job('run-g', { shape: 'gang', tasks, cpus: 4, oneZone });
+    return placeGang(new Job(spec, 0, 0, null, -1, 0), tasks, rooms, () => 0)?.map((m) => m.name) ?? null;
+  };
+  assert.deepEqual(place(1), ['f'], 'one machine is the smallest domain');
+  assert.deepEqual(place(12), new Array(12).fill('f'));
+  assert.deepEqual(place(14)?.sort(), [...new Array(12).fill('f'), 'd', 'e'].sort(), 'one zone before all zones');
+  assert.equal(place(17)?.length, 17, 'all zones at last');
+  assert.equal(place(17, true), null, 'never across zones if the job forbids it');
+});
+
+test('a write without an answer is sent again, and its own first copy is no conflict', () => {
+  const replica = new Replica(() => {});
+  const sent: number[] = [];
+  const outcomes: string[] = [];
+  const writer = new Writer(
+    { writesPerS: 10, txnOps: 4 },
+    replica,
+    (e) => {
+      if (e.t === 'txn') sent.push(e.id);
+    },
+    () => null,
+    (now, run) => run(now),
+    () => {},
+  );
+  writer.add({ key: 'a/x', value: () => ({ v: 1 }), guard: 0, urgency: 1, done: (o) => outcomes.push(o) });
+  writer.flush(0);
+  writer.result(sent[0] as number, { kind: 'unknown' }, 1500);
+  writer.flush(2000);
+  assert.equal(sent.length, 2);
+  // The first copy was carried out after all; the second one fails on it.
+  replica.set('a/x', { v: 1 }, 7);
+  writer.result(sent[1] as number, { kind: 'failed', keys: ['a/x'] }, 2100);
+  assert.deepEqual(outcomes, ['ok']);
+});
