--- a/packages/server/src/index.ts
+++ b/packages/server/src/index.ts
@@ -29,10 +29,10 @@
       process.stdout.write(`${o.config}: in order\n`);
       return;
     }
-    const log = pino(
-      { level: process.env.LOG_LEVEL ?? 'info', base: { node: settings.core.node } },
-      pino.destination({ dest: 2, sync: true }),
-    );
+    const level = process.env.LOG_LEVEL ?? 'info';
+    if (!['error', 'warn', 'info', 'debug'].includes(level))
+      throw new SettingsError(`LOG_LEVEL: ${level}: must be error, info or debug`);
+    const log = pino({ level, base: { node: settings.core.node } }, pino.destination({ dest: 2, sync: true }));
     process.on('unhandledRejection', (e) => log.error({ err: e }, 'unexpected'));
     process.on('uncaughtException', (e) => log.error({ err: e }, 'unexpected'));
     await new Service(settings, log).start();
