Keep small images from holding up the fetch of a gang's large one

Cause: trains of Leith wait for images of 7 to 11 GB, and a machine's fetches share its rate: arrays that came first on a new machine cost them 5 to 10 s. Ruled out: a shorter idle_s (25 against 40 measured, no difference).

--- a/packages/core/src/owner.ts
+++ b/packages/core/src/owner.ts
@@ -1007,6 +1007,8 @@
    */
   private mayUse(j: Job, r: Room, waitedMs: Ms): boolean {
     const cap = r.machine.cap;
+    // Fetches share a machine's rate: a small image would hold up a gang's large one.
+    if (j.spec.gpus === 0 && !r.machine.images.has(j.image) && this.fetchesForGang(r.machine)) return false;
     if (j.spec.gpus > 0 || !cap || cap.gpus === 0 || r.machine.spot) return true;
     if (j.spec.shape !== 'service') return this.arrayMayUse(j, r);
     if (this.cx.plenty(cap.name)) return true;
@@ -1026,6 +1028,14 @@
     return waitedMs > 8000;
   }
 
+  private fetchesForGang(m: Machine): boolean {
+    for (const p of m.placements.values()) {
+      if (p.job.spec.gpus === 0 || p.phase === 'exited' || p.stop !== null || m.images.has(p.job.image)) continue;
+      if (p.phase !== 'there' || p.report?.state === 'fetching') return true;
+    }
+    return false;
+  }
+
   /** Independent tasks take a dear machine whole only when their time runs out. */
   private arrayMayUse(j: Job, r: Room): boolean {
     const cap = r.machine.cap;
