--- a/test/safety.test.ts
+++ b/test/safety.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { Cluster, job } from './stand-ins.js';
+import { Cluster, job, kept } from './stand-ins.js';
 
 function cluster(machines = 6): Cluster {
   const c = new Cluster();
@@ -42,6 +42,7 @@
   c.until('started elsewhere', () => c.running('run-s') === 1 && c.on('run-s')[0] !== machine, 30);
   const lines = c.trace.join('\n');
   assert.ok(lines.indexOf(`${machine} is given back`) < lines.lastIndexOf('starts run-s'));
+  kept(c, 'takeover-with-a-silent-worker');
 });
 
 test('a machine that hangs and goes on later does not run what was started elsewhere', () => {
@@ -57,6 +58,7 @@
   w.hung = false;
   c.run(30);
   assert.equal(c.running('run-h'), 1);
+  kept(c, 'hung-machine-goes-on');
 });
 
 test('a start whose answer was lost, and which comes late, finds a higher token', () => {
@@ -69,6 +71,7 @@
   c.run(4);
   w.hung = false;
   c.until('all running', () => c.running('run-l') === 4, 60);
+  kept(c, 'late-start-finds-a-higher-token');
 });
 
 test('a late transaction of a dead holder changes nothing', () => {
@@ -90,6 +93,7 @@
   const before = JSON.stringify(c.state.rows());
   for (const apply of late) apply();
   assert.equal(JSON.stringify(c.state.rows()), before);
+  kept(c, 'late-transaction');
 });
 
 test('a job cancelled while its owner is being replaced is gone in time', () => {
@@ -101,6 +105,7 @@
   c.cancel('run-c');
   c.until('gone', () => c.on('run-c').length === 0, 36);
   assert.equal(c.ask('run-c'), 'aborted');
+  kept(c, 'cancelled-during-takeover');
 });
 
 test('in a cut zone a keeper answers reports, so the work there goes on', () => {
@@ -119,6 +124,7 @@
     [],
   );
   assert.equal(c.running('run-z'), 4);
+  kept(c, 'keeper-in-a-cut-zone');
 });
 
 test('a gang that was partly started when its owner crashed runs whole, once', () => {
@@ -131,6 +137,7 @@
   c.run(4);
   c.nodes.find((n) => !n.up)?.restart();
   c.until('done', () => c.ask('run-g') === 'done', 90);
+  kept(c, 'gang-partly-started');
 });
 
 test('quota holds while places are unresolved after a takeover', () => {
@@ -155,6 +162,7 @@
   assert.equal(c.running('run-r'), 0);
   c.cloudDown = false;
   c.until('its turn', () => c.running('run-r') === 1, 120);
+  kept(c, 'quota-with-unresolved-places');
 });
 
 test('no start while the state service is away for long, and none is lost when it is back', () => {
@@ -199,6 +207,7 @@
   c.until('running again', () => c.running('run-x') === 1, 30);
   c.submit(job('run-y', { tasks: 2, estimateS: 3 }));
   c.until('done', () => c.ask('run-y') === 'done', 40);
+  kept(c, 'outage-longer-than-a-lease');
 });
 
 test('a single node that the state service refuses loses its shares to the others, and one comes home later', () => {
@@ -220,6 +229,7 @@
   c.until('all done', () => c.finished.size === 24, 90);
   assert.ok(bad.dead, 'the faulty machine was given back');
   assert.equal(c.workers.filter((w) => w.dead).length, 1);
+  kept(c, 'faulty-machine');
 });
 
 test('a machine that is taken back with a notice is left, and its service goes on elsewhere', () => {
--- a/test/stand-ins.ts
+++ b/test/stand-ins.ts
@@ -1,6 +1,7 @@
 // Stand-ins for what archpost meets, written from PROTOCOL: the state service, the cloud,
 // workers and users, joined with real cores in one simulated time. Nothing here is random.
 import assert from 'node:assert/strict';
+import { mkdirSync, readFileSync, writeFileSync } from 'node:fs';
 import { Core, type CoreSettings, type Effect } from '@archpost/core';
 import type { Change, Command, JobSpec, MachineType, PeerStatus, Report, Row, TaskReport } from '@archpost/wire';
 
@@ -635,3 +636,17 @@
     this.trace = [];
   }
 }
+
+/**
+ * Compares what happened with the trace kept under test/traces, which is there to be read.
+ * UPDATE_TRACES=1 writes it anew: look at what changed before committing it.
+ */
+export function kept(c: Cluster, name: string): void {
+  const path = `test/traces/${name}.txt`;
+  const text = `${c.trace.join('\n')}\n`;
+  if (process.env.UPDATE_TRACES === '1') {
+    mkdirSync('test/traces', { recursive: true });
+    writeFileSync(path, text);
+  }
+  assert.equal(text, readFileSync(path, 'utf8'), `differs from ${path}`);
+}
