--- a/packages/core/src/model.ts
+++ b/packages/core/src/model.ts
@@ -215,6 +215,9 @@
   images = new Map<number, number>();
   cacheQueued = false;
   errorJobs = new Set<string>();
+  /** failed here, of jobs whose tasks get done elsewhere */
+  errorTasks = 0;
+  lastErrorAt: Ms = -1e12;
   /** a return to the cloud is wanted, because: */
   giveBack = '';
   returning = false;
--- a/packages/core/src/owner.ts
+++ b/packages/core/src/owner.ts
@@ -306,7 +306,11 @@
     this.wantPlan = true;
     if (t.why === 'done') {
       if (p.ranSince >= 0) j.ranS = Math.max(j.ranS, (now - p.ranSince) / 1000);
-      m.errorJobs.clear();
+      // What began before the last failure proves nothing about the machine since.
+      if (p.ranSince > m.lastErrorAt) {
+        m.errorJobs.clear();
+        m.errorTasks = 0;
+      }
       this.markDone(j, p.index);
       return;
     }
@@ -357,6 +361,8 @@
       j.notBefore = now + Math.min(60_000, 2000 * 2 ** Math.min(6, j.errors.size - 3));
     } else {
       m.errorJobs.add(j.spec.id);
+      m.lastErrorAt = now;
+      if (j.doneCount > 0 && j.errors.size === 1) m.errorTasks++;
       if (j.spec.shape === 'gang') j.notBefore = now + 300;
     }
     this.cx.log('info', 'task failed', {
@@ -368,7 +374,7 @@
   }
 
   private faulty(m: Machine): boolean {
-    return m.errorJobs.size >= 2;
+    return m.errorJobs.size >= 2 || m.errorTasks >= 3;
   }
 
   private markDone(j: Job, index: number): void {
