--- a/test/safety.test.ts
+++ b/test/safety.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { Cluster, job, kept } from './stand-ins.js';
+import { Cluster, job, kept, type WorkerStandIn } from './stand-ins.js';
 
 function cluster(machines = 6): Cluster {
   const c = new Cluster();
@@ -241,3 +241,24 @@
   w.noticeS = 10;
   c.until('moved', () => c.running('run-n') === 1 && !c.on('run-n').includes(w.name), 8);
 });
+
+test('one job is enough to tell a faulty machine, if its tasks get done elsewhere', () => {
+  const c = new Cluster();
+  for (let i = 0; i < 6; i++) c.machine(`m${i}`, 'small', i % 2 === 0 ? 'east' : 'west');
+  for (let i = 0; i < 3; i++) c.machine(`g${i}`, 'big', 'east');
+  c.settle();
+  c.submit(job('run-one', { tasks: 250, estimateS: 4 }));
+  c.until('some done', () => c.finished.size >= 5, 60);
+  // More of them start; the machine that bears the most fails them all.
+  c.run(2);
+  const busy = (w: WorkerStandIn) => [...w.tasks.values()].filter((t) => t.state === 'running').length;
+  const bad = [...c.workers].sort((a, b) => busy(b) - busy(a))[0];
+  assert.ok(bad && busy(bad) > 3);
+  bad.fails = true;
+  c.until('all done', () => c.finished.size === 250, 180);
+  c.run(5);
+  assert.deepEqual(
+    c.workers.filter((w) => w.dead).map((w) => w.name),
+    [bad.name],
+  );
+});
