--- a/test/safety.test.ts
+++ b/test/safety.test.ts
@@ -262,3 +262,22 @@
     [bad.name],
   );
 });
+
+test('a gang above its guarantee is stopped whole for one within its own, and runs again whole', () => {
+  const c = new Cluster();
+  c.machine('g0', 'big', 'east');
+  c.machine('g1', 'big', 'east');
+  c.settle();
+  const low = { shape: 'gang' as const, tasks: 2, gpus: 8, cpus: 40, estimateS: 30, checkpointS: 5, saveS: 2 };
+  c.submit(job('run-low', { ...low, team: 'red', rank: 1 }));
+  c.until('both running', () => c.running('run-low') === 2, 40);
+  c.submit(job('run-high', { team: 'blue', shape: 'gang', gpus: 8, cpus: 40, estimateS: 5, rank: 2 }));
+  c.until('its turn', () => c.running('run-high') === 1, 30);
+  const stops = c.trace.filter((l) => l.includes('stops run-low')).map((l) => Number(l.trim().split(' ')[0]));
+  assert.equal(stops.length, 2);
+  assert.ok(Math.abs((stops[0] ?? 0) - (stops[1] ?? 0)) <= 4, 'all told within gang_peer_s');
+  assert.equal(c.on('run-low').length, 0);
+  c.until('whole again', () => c.running('run-low') === 2, 60);
+  c.until('done', () => c.ask('run-low') === 'done', 60);
+  kept(c, 'gang-stopped-whole');
+});
