Ask in one place whether a gang still fits beside services; drop dead fields

The same sum stood in mayUse, givenToServices and gpuPenalty, and the list of a machine's services in three places. errorCount and a booking's names were written and never read. Comments that no longer held are mended.

--- a/packages/core/src/lead.ts
+++ b/packages/core/src/lead.ts
@@ -18,7 +18,6 @@
   zone: string;
   spot: boolean;
   count: number;
-  names: string[];
   at: Ms;
 }
 
@@ -374,7 +373,7 @@
     const count = Math.max(1, Math.min(want.count, 50, max === null ? 50 : max - held));
     const id = this.cx.nextId();
     const request = `r-${this.stamp}-${++this.counter}`;
-    this.bookings.set(id, { ...want, count, names: [], at: now });
+    this.bookings.set(id, { ...want, count, at: now });
     this.cx.log('info', 'renting', { request, ...want, count });
     this.cx.emit({ t: 'rent', id, rental: { request, type: want.type, zone: want.zone, spot: want.spot, count } });
     this.nextRentAt = now + Math.max(300, 1000 / settings.cloud.rps);
@@ -498,8 +497,7 @@
     this.bookings.delete(id);
     const mk = this.market(b.type, b.zone, b.spot);
     if (r.kind === 'ok') {
-      for (const name of r.machines)
-        if (!this.listed.has(name)) this.booting.set(name, { ...b, count: 1, names: [name], at: now });
+      for (const name of r.machines) if (!this.listed.has(name)) this.booting.set(name, { ...b, count: 1, at: now });
       mk.filled = !b.spot && r.machines.length >= b.count;
       mk.refusals = r.machines.length < b.count ? 1 : 0;
       mk.notBefore = r.machines.length < b.count ? now + 15_000 : now;
--- a/packages/core/src/model.ts
+++ b/packages/core/src/model.ts
@@ -137,7 +137,6 @@
   /** since when some of its tasks have had no room; -1: all have */
   waitsSince: Ms = -1;
   errors = new Set<string>();
-  errorCount = 0;
   progressQueued = false;
   finishQueued = false;
   /** gang: attempt in use; 0: none */
--- a/packages/core/src/owner.ts
+++ b/packages/core/src/owner.ts
@@ -1,7 +1,7 @@
 import type { Command, PeerDemand, PeerMachine, PeerShare, Report, TaskReport } from '@archpost/wire';
 import type { Context } from './context.js';
 import type { Job, Machine, Ms, Need, Placement } from './model.js';
-import { allowed, domains, fits, placeGang, type Room, take, zoneAllows, zoneCounts } from './placement.js';
+import { allowed, domains, EPS, fits, placeGang, type Room, take, zoneAllows, zoneCounts } from './placement.js';
 import { type JobRecord, KEY, packBits } from './table.js';
 
 /** A share that this controller holds. */
@@ -11,6 +11,8 @@
   since: Ms;
 }
 
+const NOTHING: Need = { cpus: 0, gpus: 0, memory: 0 };
+
 /** Attempts carry the holding's stamp, so no two holders ever use the same one. */
 const ATTEMPTS_PER_HOLDING = 1_000_000;
 
@@ -354,7 +356,6 @@
   /** Faulty machines fail many jobs; bad jobs fail on many machines. */
   private taskFailed(p: Placement, now: Ms): void {
     const { job: j, machine: m } = p;
-    j.errorCount++;
     j.errors.add(m.name);
     const badJob = j.errors.size >= 3 && j.doneCount === 0;
     if (badJob) {
@@ -1003,13 +1004,13 @@
     if (j.spec.gpus === 0 && cap.gpus > 0) s -= this.gpuPenalty(j, r);
     if (m.spot && j.spec.shape === 'array') s += 1;
     // Services stand together, so that whole machines stay free for others.
-    if (j.spec.shape === 'service' && this.plainUse(m).cpus > 0) s += 0.6;
+    if (j.spec.shape === 'service' && this.serviceUse(m).cpus > 0) s += 0.6;
     return s;
   }
 
   /**
-   * Where capacity is held, services keep off machines with accelerators until nothing else
-   * has come free for a while: there they would stand in the way for hours.
+   * Where no more of them can be had, services keep off machines with accelerators until
+   * nothing else has come free for a while: there they would stand in the way for hours.
    */
   private mayUse(j: Job, r: Room, waitedMs: Ms): boolean {
     const cap = r.machine.cap;
@@ -1020,12 +1021,7 @@
     if (this.cx.plenty(cap.name)) return true;
     // One machine given to services whole leaves the others to the work they are made for.
     if (this.givenToServices(r.machine)) return waitedMs > 800;
-    const want = this.cx.table.gpuNeed.get(r.machine.type);
-    if (!want) return waitedMs > 1500;
-    const used = this.plainUse(r.machine);
-    const left =
-      used.cpus + j.spec.cpus <= cap.cpus - want.cpus + 1e-6 && used.memory + j.spec.memory <= cap.memory - want.memory + 1e-6;
-    if (left) return waitedMs > 1500;
+    if (this.leavesRoomForGang(r.machine, j.need)) return waitedMs > 1500;
     for (const m of this.cx.table.machines.values()) {
       if (m !== r.machine && m.share === j.share && this.givenToServices(m) && this.usable(m, this.now) && allowed(j, m)) {
         if (fits(j.need, this.roomOf(m))) return waitedMs > 30_000;
@@ -1057,16 +1053,26 @@
   private givenToServices(m: Machine): boolean {
     if (!m.cap || m.cap.gpus === 0 || m.spot || this.cx.plenty(m.cap.name)) return false;
     if (!this.cx.table.gpuShares.has(m.share)) return true;
+    return !this.leavesRoomForGang(m, NOTHING);
+  }
+
+  /** Would accelerator work of the largest kind seen still fit beside the machine's services and this? */
+  private leavesRoomForGang(m: Machine, more: Need): boolean {
     const want = this.cx.table.gpuNeed.get(m.type);
-    const used = this.plainUse(m);
-    return want !== undefined && (used.cpus > m.cap.cpus - want.cpus + 1e-6 || used.memory > m.cap.memory - want.memory + 1e-6);
+    if (!want || !m.cap) return true;
+    const used = this.serviceUse(m);
+    return used.cpus + more.cpus <= m.cap.cpus - want.cpus + EPS && used.memory + more.memory <= m.cap.memory - want.memory + EPS;
   }
 
-  /** What work without accelerators takes on the machine. */
-  private plainUse(m: Machine): { cpus: number; memory: number } {
+  private servicesOn(m: Machine): Placement[] {
+    return [...m.placements.values()].filter((p) => p.phase !== 'exited' && p.job.spec.shape === 'service');
+  }
+
+  /** What services without accelerators take on the machine. */
+  private serviceUse(m: Machine): { cpus: number; memory: number } {
     const u = { cpus: 0, memory: 0 };
-    for (const p of m.placements.values()) {
-      if (p.phase === 'exited' || p.job.spec.gpus > 0 || p.job.spec.shape !== 'service') continue;
+    for (const p of this.servicesOn(m)) {
+      if (p.job.spec.gpus > 0) continue;
       u.cpus += p.job.spec.cpus;
       u.memory += p.job.spec.memory;
     }
@@ -1075,7 +1081,7 @@
 
   /**
    * Machines whose services the share has other room for: these can be cleared, for work
-   * that needs an accelerator or for another share. The fullest go last.
+   * that needs an accelerator or for another share.
    */
   private clearable(share: number, now: Ms): Set<Machine> {
     const out = new Set<Machine>();
@@ -1090,11 +1096,9 @@
       }
       rooms.push(r);
     }
-    const services = (m: Machine) =>
-      [...m.placements.values()].filter((p) => p.phase !== 'exited' && p.job.spec.shape === 'service');
     for (const m of this.cx.table.machines.values()) {
       if (m.share !== share || !m.cap || m.spot) continue;
-      const move = services(m);
+      const move = this.servicesOn(m);
       // What was moved lately stays where it is: moving it on would keep it from running.
       if (move.some((p) => now - p.job.lastStop < 60_000)) continue;
       if (move.length === 0 || move.length > (m.cap.gpus > 0 ? 12 : 4)) continue;
@@ -1115,7 +1119,7 @@
   /** May services go from `from` to `to`? From one accelerator machine only to one with more of them. */
   private wider(to: Machine, from: Machine): boolean {
     if (from.cap?.gpus === 0 || to.cap?.gpus === 0) return true;
-    return this.plainUse(to).cpus > this.plainUse(from).cpus;
+    return this.serviceUse(to).cpus > this.serviceUse(from).cpus;
   }
 
   /** Clears a machine with accelerators of services when a gang here has no other place. */
@@ -1125,7 +1129,7 @@
       if (u.job.spec.gpus === 0 || u.job.spec.shape !== 'gang' || u.job.spec.tasks > 1) continue;
       for (const m of this.clearable(u.job.share, now)) {
         if (!allowed(u.job, m) || !this.usable(m, now) || !m.cap) continue;
-        const plain = this.plainUse(m);
+        const plain = this.serviceUse(m);
         let busy = false;
         for (const p of m.placements.values()) if (p.phase !== 'exited' && p.job.spec.gpus > 0) busy = true;
         if (
@@ -1136,7 +1140,7 @@
           continue;
         this.clearedAt = now;
         this.cx.log('info', 'moving services off a machine with accelerators', { machine: m.name });
-        for (const p of [...m.placements.values()]) if (p.job.spec.shape === 'service') this.stop(p, 0);
+        for (const p of this.servicesOn(m)) this.stop(p, 0);
         return;
       }
     }
@@ -1150,11 +1154,7 @@
     const want = this.cx.table.gpuNeed.get(m.type);
     if (!want || !m.cap) return 5;
     // What an accelerator task leaves over is free for others.
-    const used = this.plainUse(m);
-    const cpus = j.spec.cpus + used.cpus;
-    const memory = j.spec.memory + used.memory;
-    if (cpus <= m.cap.cpus - want.cpus + 1e-6 && memory <= m.cap.memory - want.memory + 1e-6)
-      return this.cx.plenty(m.cap.name) ? 0 : 6;
+    if (this.leavesRoomForGang(m, j.need)) return this.cx.plenty(m.cap.name) ? 0 : 6;
     return j.spec.rank < want.rank ? 8 : 40;
   }
 
@@ -1366,7 +1366,7 @@
         tasks: m.placements.size,
         firmRank,
         idleS: m.placements.size === 0 ? (now - m.idleSince) / 1000 : 0,
-        services: [...m.placements.values()].filter((p) => p.phase !== 'exited' && p.job.spec.shape === 'service').length,
+        services: this.servicesOn(m).length,
       });
     }
     // Alike wants are told as one.
