--- a/packages/core/src/context.ts
+++ b/packages/core/src/context.ts
@@ -25,6 +25,9 @@
   log(level: Level, msg: string, data?: Record<string, unknown>): void;
   nextId(): number;
   leaseValid(now: Ms): boolean;
+  storeOk(now: Ms): boolean;
+  /** can workers be reached from here? */
+  reach(): boolean;
   peerAlive(node: string, now: Ms): boolean;
   afterBarrier(now: Ms, run: (now: Ms) => void, until?: Ms, late?: () => void): void;
   gained(holding: string, stamp: number): void;
--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -13,6 +13,9 @@
 /** How long a peer's silence is borne before its link counts as down. */
 const PEER_SILENT_MS = 3500;
 
+/** The watch and the lease's renewals bring an answer more often than this. */
+const STORE_SILENT_MS = 4000;
+
 /**
  * One controller's decisions as a state machine. Inputs go in through the methods, each
  * with its time; what is to be sent, written and answered is collected by `drain`.
@@ -24,6 +27,7 @@
   readonly lease = { permit: null as number | null, validUntil: -1 };
   readonly peers = new Map<string, Peer>();
   freshAt: Ms = -1e12;
+  private storeAt: Ms = -1e12;
   readonly desk: Desk;
   readonly owner: Owner;
   readonly lead: Lead;
@@ -32,7 +36,7 @@
   private ids = 1;
   private now: Ms = 0;
   private waiters: { from: Ms; run: (now: Ms) => void; until: Ms; late: (() => void) | undefined }[] = [];
-  private readonly heard = new Map<string, Ms>();
+  private readonly heard = new Map<string, { session: number; seq: number; at: Ms }>();
   private lastStatus: Ms = -1e12;
   private typesAskedAt: Ms = -1e12;
 
@@ -102,6 +106,10 @@
     else this.owner.lost(Number(holding));
   }
 
+  reach(): boolean {
+    return this.owner.reach;
+  }
+
   planSoon(): void {
     this.owner.planSoon();
   }
@@ -140,6 +148,7 @@
     this.now = now;
     this.replica.apply(list, revision);
     if (asOf > this.freshAt) this.freshAt = asOf;
+    this.storeAt = now;
     const due = this.waiters.filter((w) => w.from <= asOf);
     if (due.length > 0) {
       this.waiters = this.waiters.filter((w) => w.from > asOf);
@@ -154,6 +163,7 @@
 
   txnResult(id: number, r: Parameters<Writer['result']>[1], now: Ms): void {
     this.now = now;
+    if (r.kind !== 'refused' && r.kind !== 'unknown') this.storeAt = now;
     this.writer.result(id, r, now);
     this.after(now);
   }
@@ -166,6 +176,7 @@
       return;
     }
     if (this.lease.permit !== null && this.lease.permit !== permit) this.leaseLost();
+    this.storeAt = now;
     this.lease.permit = permit;
     this.lease.validUntil = validUntil;
     this.after(now);
@@ -197,9 +208,26 @@
     this.after(now);
   }
 
-  /** Ready for users: what the state service holds is known. */
+  /**
+   * Ready for users: what the state service holds is known. In an outage that all share it
+   * stays so; a controller that alone has lost the service says no, so that its users'
+   * connections leave it.
+   */
   get ready(): boolean {
-    return this.replica.loaded && this.table.typesKnown;
+    if (!this.replica.loaded || !this.table.typesKnown) return false;
+    if (this.storeOk(this.now)) return true;
+    let any = false;
+    for (const [node, p] of this.peers) {
+      if (!this.peerAlive(node, this.now)) continue;
+      any = true;
+      if (p.status.storeOk) return false;
+    }
+    return any || this.settings.nodes.length === 1;
+  }
+
+  /** The state service has answered lately. */
+  storeOk(now: Ms): boolean {
+    return now - this.storeAt < STORE_SILENT_MS;
   }
 
   // ---- workers
@@ -222,6 +250,12 @@
       this.emit({ t: 'answer', id, status: 503, body: { error: 'not entitled' } });
       return;
     }
+    // It has been told a higher token than is known here: whatever is answered, it drops, and
+    // stays here while its lease runs out. Another controller must answer it.
+    if (r.token > this.table.token(m)) {
+      this.emit({ t: 'answer', id, status: 503, body: { error: 'not entitled' } });
+      return;
+    }
     // Workers stay with a controller of their own zone: a cut between zones then costs
     // them nothing, where finding another controller could take longer than their lease.
     const near = this.nearNode(r.zone, holder, now);
@@ -231,11 +265,10 @@
     }
     const stops: Command[] = [];
     if (holder === this.settings.node) {
-      if (r.addr) m.addr = r.addr;
       this.owner.observe(m, r, now);
     } else {
       // A keeper: the work must not die because its owner did, or can't be reached from here.
-      this.heard.set(r.machine, now);
+      this.hear(r, now);
       if (holder !== null && this.peerAlive(holder, now)) this.emit({ t: 'relay', to: holder, report: r });
       for (const t of r.tasks) {
         if (t.state !== 'exited' && this.table.finals.get(t.job) === 'cancelled') {
@@ -247,11 +280,31 @@
     this.after(now);
   }
 
+  /** A late copy must not make a silent machine seem alive: only what is newer counts. */
+  private hear(r: Report, now: Ms): void {
+    const old = this.heard.get(r.machine);
+    if (old && (r.session < old.session || (r.session === old.session && r.seq <= old.seq))) return;
+    this.heard.set(r.machine, { session: r.session, seq: r.seq, at: now });
+  }
+
+  private heardLately(now: Ms): string[] {
+    const out: string[] = [];
+    for (const [name, h] of this.heard) {
+      if (now - h.at < 4000) out.push(name);
+      // Kept for as long as late copies of it may come.
+      else if (now - h.at > 10 * this.settings.workers.leaseS * 1000) this.heard.delete(name);
+    }
+    return out;
+  }
+
   /** The controller that a worker of this zone should report to, as far as is seen from here. */
   private nearNode(zone: string, holder: string | null, now: Ms): string {
     const me = this.settings.node;
     // One that the state service refuses answers no worker, so none must be sent to it.
-    const alive = (n: string) => n === me || (this.peerAlive(n, now) && this.peers.get(n)?.status.entitled === true);
+    const alive = (n: string) => {
+      const s = this.peers.get(n)?.status;
+      return n === me || (this.peerAlive(n, now) && s?.entitled === true && s.reach);
+    };
     const zoneOf = (n: string) => this.settings.nodes.find((x) => x.name === n)?.zone;
     if (holder !== null && zoneOf(holder) === zone && alive(holder)) return holder;
     if (this.settings.zone === zone) return me;
@@ -265,8 +318,9 @@
     this.now = now;
     const m = this.table.machines.get(r.machine);
     if (!m || this.table.holder(m.share)?.holder.node !== this.settings.node || !this.owner.mayAct(m.share, now)) return;
-    if (r.addr) m.addr = r.addr;
     this.owner.observe(m, r, now);
+    // Workers of our own zone report here, unless this controller or the machine is apart.
+    if (r.zone === this.settings.zone) this.owner.doubt(m, now);
     this.after(now);
   }
 
@@ -276,6 +330,12 @@
     this.after(now);
   }
 
+  /** Whether a worker answered the question that `ask` put. */
+  asked(id: number, ok: boolean, now: Ms): void {
+    this.now = now;
+    this.owner.asked(id, ok);
+  }
+
   // ---- cloud
 
   types(list: MachineType[] | null, now: Ms): void {
@@ -365,16 +425,17 @@
   private toldAt: Ms = -1e12;
 
   private status(now: Ms): PeerStatus {
-    for (const [k, t] of this.heard) if (now - t > 4000) this.heard.delete(k);
     return {
       node: this.settings.node,
       shares: [...this.owner.held.keys()].map((s) => this.owner.share(s, now)),
       running: this.owner.running(),
       strangers: this.lead.strangersNow(now),
-      heard: [...this.heard.keys()],
+      heard: this.heardLately(now),
       plenty: this.lead.leading ? this.lead.plenty() : [],
       lead: this.lead.leading,
       entitled: this.replica.loaded && this.leaseValid(now),
+      reach: this.owner.reach,
+      storeOk: now - this.storeAt < STORE_SILENT_MS,
     };
   }
 
--- a/packages/core/src/desk.ts
+++ b/packages/core/src/desk.ts
@@ -37,6 +37,7 @@
     const final = this.cx.table.finals.get(spec.id);
     if (final) return this.answer(id, 200, jobAnswer(spec.id, final));
     if (!this.cx.replica.loaded || !this.cx.table.typesKnown) return this.busy(id, 'not ready');
+    if (!this.cx.storeOk(now)) return this.busy(id, 'the state service does not answer');
     if (this.cx.table.jobs.has(spec.id)) return this.known(id, spec.id, now);
     const never = this.neverRuns(spec);
     if (never) {
@@ -132,6 +133,7 @@
     const final = this.cx.table.finals.get(job);
     if (final) return this.answer(id, 200, this.finalAnswer(job, final));
     if (!this.cx.replica.loaded) return this.busy(id, 'not ready');
+    if (!this.cx.storeOk(now)) return this.busy(id, 'the state service does not answer');
     this.cx.afterBarrier(
       now,
       () => {
@@ -156,6 +158,7 @@
     this.open++;
     if (!JOB_ID.test(job)) return this.answer(id, 404, { error: 'no such job' });
     if (!this.cx.replica.loaded) return this.busy(id, 'not ready');
+    if (!this.cx.storeOk(now)) return this.busy(id, 'the state service does not answer');
     this.tryCancel(id, job, now, now + SUBMIT_MS);
   }
 
--- a/packages/core/src/holdings.ts
+++ b/packages/core/src/holdings.ts
@@ -64,6 +64,7 @@
     const cx = this.cx;
     if (!cx.replica.loaded || !cx.leaseValid(now) || cx.lease.permit === null) return;
     const me = cx.settings.node;
+    if (!cx.reach()) this.releaseShares(now);
     const count = this.mine.size;
     for (const name of this.names()) {
       const cur = cx.table.holders.get(name);
@@ -74,12 +75,13 @@
         if (cur.holder.node === me && !this.mine.has(name)) this.claim(name, cur.stamp, now);
         continue;
       }
-      if (this.mine.has(name)) continue;
+      if (this.mine.has(name) || (name !== 'lead' && !cx.reach())) continue;
       const since = this.absentSince.get(name) ?? now;
       this.absentSince.set(name, since);
       // A live home node claims first; the others in turn, those with the least to hold first.
       const rank = cx.settings.nodes.findIndex((n) => n.name === me);
-      const wait = this.home(name) === me ? 0 : (cx.peerAlive(this.home(name), now) ? 3000 : 1000) + 400 * count + 150 * rank;
+      const home = this.home(name);
+      const wait = home === me ? 0 : (this.mayHold(home, now) ? 3000 : 1000) + 400 * count + 150 * rank;
       if (now - since >= wait) this.claim(name, 0, now);
     }
     this.giveHome(now);
@@ -106,7 +108,7 @@
     for (const name of this.mine.keys()) {
       const home = this.home(name);
       if (name === 'lead' || home === cx.settings.node || this.releasing.has(name)) continue;
-      const idle = cx.peerAlive(home, now) && ![...cx.table.holders.values()].some((h) => h.holder.node === home);
+      const idle = this.mayHold(home, now) && ![...cx.table.holders.values()].some((h) => h.holder.node === home);
       if (!idle) {
         this.homeSeen.delete(home);
         continue;
@@ -114,19 +116,39 @@
       const since = this.homeSeen.get(home) ?? now;
       this.homeSeen.set(home, since);
       if (now - since < 4000) continue;
-      this.releasing.add(name);
       cx.log('info', 'handing share home', { share: name, to: home });
-      cx.writer.add({
-        key: KEY.holding(Number(name)),
-        value: () => undefined,
-        guard: this.mine.get(name) ?? 0,
-        urgency: 0,
-        until: now + 5000,
-        done: (o) => {
-          if (o !== 'ok') this.releasing.delete(name);
-        },
-      });
+      this.release(name, now);
       return;
     }
   }
+
+  private release(name: string, now: Ms): void {
+    this.releasing.add(name);
+    this.cx.writer.add({
+      key: KEY.holding(Number(name)),
+      value: () => undefined,
+      guard: this.mine.get(name) ?? 0,
+      urgency: 0,
+      until: now + 5000,
+      done: (o) => {
+        if (o !== 'ok') this.releasing.delete(name);
+      },
+    });
+  }
+
+  /** Is it seen to hold shares well: alive, with its lease and its workers? */
+  private mayHold(node: string, now: Ms): boolean {
+    const s = this.cx.peers.get(node)?.status;
+    return this.cx.peerAlive(node, now) && s?.entitled === true && s.reach;
+  }
+
+  /** Our workers can't be reached from here: others take the shares over, if any is there to. */
+  private releaseShares(now: Ms): void {
+    if (!this.cx.settings.nodes.some((n) => n.name !== this.cx.settings.node && this.mayHold(n.name, now))) return;
+    for (const name of this.mine.keys()) {
+      if (name === 'lead' || this.releasing.has(name)) continue;
+      this.cx.log('info', 'releasing a share whose workers can not be reached', { share: name });
+      this.release(name, now);
+    }
+  }
 }
--- a/packages/core/src/model.ts
+++ b/packages/core/src/model.ts
@@ -55,6 +55,8 @@
   | { t: 'txn'; id: number; guards: Guard[]; writes: Write[] }
   | { t: 'barrier' }
   | { t: 'command'; id: number; machine: string; addr: string; token: number; session: number; commands: Command[] }
+  /** asks a worker for its report, to see whether workers can be reached from here */
+  | { t: 'ask'; id: number; addr: string }
   | { t: 'rent'; id: number; rental: Rental }
   | { t: 'return'; id: number; machines: string[] }
   | { t: 'list' }
@@ -207,6 +209,12 @@
   inflightAt: Ms = 0;
   retryAt: Ms = 0;
   heardAt: Ms = 0;
+  /** commands in a row that got no answer, and since when; heard is not reachable */
+  lostCount = 0;
+  lostSince: Ms = -1;
+  /** something about it is odd: it is to be asked how it stands */
+  ask = false;
+  askedAt: Ms = -1e12;
   noticeUntil: Ms = -1;
   placements = new Map<string, Placement>();
   /** tasks reported that belong to no job or place of ours */
--- a/packages/core/src/owner.ts
+++ b/packages/core/src/owner.ts
@@ -11,6 +11,15 @@
   since: Ms;
 }
 
+/** What is seen of a zone's machines that are ours. */
+interface ZoneView {
+  all: number;
+  /** heard lately */
+  heard: number;
+  /** do not answer commands */
+  lost: number;
+}
+
 const NOTHING: Need = { cpus: 0, gpus: 0, memory: 0 };
 
 /** Attempts carry the holding's stamp, so no two holders ever use the same one. */
@@ -25,7 +34,10 @@
   private wantPlan = true;
   private lastTick: Ms = 0;
   private lastSummary: Ms = 0;
-  private readonly commands = new Map<number, { machine: Machine; sent: Placement[]; probe: boolean }>();
+  private readonly commands = new Map<
+    number,
+    { machine: Machine; sent: Placement[]; probe: boolean; seen: { session: number; seq: number } }
+  >();
   private readonly returns = new Map<number, Machine[]>();
   private nextReturnAt: Ms = 0;
   private readonly cutZones = new Set<number>();
@@ -86,6 +98,8 @@
     m.session = 0;
     m.seq = -1;
     m.heardAt = now;
+    m.lostCount = 0;
+    m.lostSince = -1;
     m.giveBack = '';
     m.returning = false;
     m.noticeUntil = -1;
@@ -209,12 +223,33 @@
   // ---- reports
 
   /**
-   * Takes a worker's report. Reports can come late, so only one newer by (session, seq)
-   * counts. A start under way isn't refuted by a report: it may have been made before it.
+   * Takes a worker's report. Copies can come late, so only one newer by (session, seq)
+   * counts, and right after a takeover, when nothing is known of what came before, none at
+   * all: then only the answer to our own question (`asked`: what was known when it was
+   * sent) does. A start under way isn't refuted by a report: it may have been made before it.
    */
-  observe(m: Machine, r: Report, now: Ms): void {
+  observe(m: Machine, r: Report, now: Ms, asked: { session: number; seq: number } | null = null): void {
     this.now = now;
-    if (r.session < m.session || (r.session === m.session && r.seq <= m.seq)) return;
+    const older = (a: { session: number; seq: number }) => r.session < a.session || (r.session === a.session && r.seq <= a.seq);
+    if (asked !== null && older(asked)) {
+      // An answer is newer than what was known when it was asked for, unless the machine has
+      // begun again: then nothing that was there is there any more.
+      this.cx.log('info', 'machine began again', { machine: m.name });
+      for (const p of [...m.placements.values()]) if (p.phase !== 'planned') this.free(p);
+      m.session = 0;
+      m.seq = -1;
+    } else if (asked === null && !m.resolved) {
+      // Which session to ask is all that can be learned from it.
+      if (r.session > m.session) m.session = r.session;
+      return;
+    } else if (older(m)) {
+      // A late copy, or a machine that began again: its answer will tell.
+      if (asked === null) this.doubt(m, now);
+      return;
+    }
+    // It has said something that didn't come here: perhaps our answers don't reach it.
+    if (asked === null && r.session === m.session && r.seq > m.seq + 1) this.doubt(m, now);
+    if (r.addr) m.addr = r.addr;
     m.heardAt = now;
     if (m.giveBack === 'silent' && !m.returning) m.giveBack = '';
     if (r.session > m.session) {
@@ -248,6 +283,13 @@
     }
   }
 
+  /** Asks the machine how it stands, now and then. */
+  doubt(m: Machine, now: Ms): void {
+    if (now - m.askedAt < this.cx.settings.workers.reportS * 2000) return;
+    m.askedAt = now;
+    m.ask = true;
+  }
+
   /** A task found on a machine that we have no record of: an earlier holder's work. */
   private adopt(m: Machine, t: TaskReport, now: Ms): Placement | null {
     let job = this.cx.table.jobs.get(t.job);
@@ -454,6 +496,7 @@
       for (const m of this.cx.table.machines.values()) m.heardAt = Math.min(now, m.heardAt + gap - 300);
     }
     this.lastTick = now;
+    this.seekReach(now);
     if (now - this.lastSummary > 10_000) {
       this.lastSummary = now;
       this.summary(now);
@@ -546,15 +589,21 @@
 
   private watchMachines(now: Ms): void {
     const silentMs = this.cx.settings.policy.silentS * 1000;
-    const zones = new Map<number, { all: number; heard: number }>();
+    const zones = new Map<number, ZoneView>();
     for (const m of this.cx.table.machines.values()) {
       if (!this.held.has(m.share)) continue;
-      const z = zones.get(m.zone) ?? { all: 0, heard: 0 };
+      const z = zones.get(m.zone) ?? { all: 0, heard: 0, lost: 0 };
       z.all++;
+      if (m.lostCount >= 2) z.lost++;
       if (now - m.heardAt < 4000) z.heard++;
       zones.set(m.zone, z);
     }
     this.judgeZones(zones, now);
+    this.judgeReach(zones, now);
+    const manyLost = (zone: number) => {
+      const z = zones.get(zone);
+      return !this.reach || this.cutZones.has(zone) || (z !== undefined && z.lost > 1 && z.lost * 4 > z.all);
+    };
     const back: Machine[] = [];
     for (const m of this.cx.table.machines.values()) {
       if (!this.held.has(m.share)) continue;
@@ -566,7 +615,7 @@
         // Cancelled work must be gone in time, whatever the reason for the silence.
         const cancelled = [...m.placements.values()].some((p) => p.job.state === 'cancelled');
         const limit = this.cx.settings.workers.cancelS * 1000 * 0.5;
-        if (!cut || (cancelled && silent > limit)) this.giveUp(m, cut ? 'silent with cancelled work' : 'silent');
+        if ((!cut && this.reach) || (cancelled && silent > limit)) this.giveUp(m, cut ? 'silent with cancelled work' : 'silent');
       }
       if (m.giveBack === '' && this.empty(m) && m.resolved && !m.dirty) {
         if (m.retire) this.giveUp(m, 'not needed');
@@ -576,6 +625,9 @@
       }
       if ((m.moveTo >= 0 || m.retire) && m.giveBack === '') this.vacate(m);
       if (m.giveBack && !m.returning && now >= m.returnAt) back.push(m);
+      // Its reports come, but nothing reaches it: it would be thought well for ever, though
+      // its lease runs out. Where many can't be reached at once, the fault isn't theirs.
+      if (m.giveBack === '' && this.unreachable(m, now) && !manyLost(m.zone)) this.giveUp(m, 'can not be reached');
       if (m.dirty && !m.bumping && m.inflight === 0 && !m.giveBack) this.bump(m);
     }
     if (back.length > 0 && now >= this.nextReturnAt) {
@@ -592,22 +644,93 @@
    * When a cut ends, workers need a moment to find their way back from the keeper that
    * answered them meanwhile: until then their silence says nothing.
    */
-  private judgeZones(zones: Map<number, { all: number; heard: number }>, now: Ms): void {
+  private judgeZones(zones: Map<number, ZoneView>, now: Ms): void {
     for (const [zone, z] of zones) {
       if (this.zoneCut(zone, z, now)) this.cutZones.add(zone);
       else if (this.cutZones.delete(zone)) {
-        for (const m of this.cx.table.machines.values()) if (m.zone === zone && this.held.has(m.share)) m.heardAt = now;
+        for (const m of this.cx.table.machines.values()) {
+          if (m.zone !== zone || !this.held.has(m.share)) continue;
+          m.heardAt = now;
+          m.lostCount = Math.min(m.lostCount, 1);
+          m.lostSince = m.lostCount > 0 ? now : -1;
+        }
       }
     }
   }
 
+  /** Three commands in a row without an answer, over longer than a machine's silence is borne. */
+  private unreachable(m: Machine, now: Ms): boolean {
+    return m.lostCount >= 3 && now - m.lostSince > this.cx.settings.policy.silentS * 1000;
+  }
+
+  /**
+   * Workers that can't be reached from here, not even those of our own zone: the fault is
+   * ours, and another controller can do better. What is asked for here finds out when
+   * it is over.
+   */
+  private judgeReach(zones: Map<number, ZoneView>, now: Ms): void {
+    if (!this.reach) return;
+    const own = zones.get(this.cx.table.zoneNames.find(this.cx.settings.zone));
+    const all = { all: 0, heard: 0, lost: 0 };
+    for (const z of zones.values()) {
+      all.all += z.all;
+      all.lost += z.lost;
+    }
+    const z = own && own.all >= 3 ? own : all;
+    if (z.all < 3 || z.lost * 4 < z.all * 3) {
+      this.lostReachAt = -1;
+      return;
+    }
+    if (this.lostReachAt < 0) this.lostReachAt = now;
+    if (now - this.lostReachAt < 2000) return;
+    this.reach = false;
+    this.answered = 0;
+    this.askAt = now;
+    this.cx.log('warn', 'workers can not be reached from here', { lost: z.lost, of: z.all });
+  }
+
+  /** Can workers be reached from here? */
+  reach = true;
+  private lostReachAt: Ms = -1;
+  private answered = 0;
+  private askAt: Ms = 0;
+  private readonly asking = new Set<number>();
+
+  /** Without shares no command tells whether workers can be reached again: a few are asked. */
+  private seekReach(now: Ms): void {
+    if (this.reach || now < this.askAt || this.asking.size > 0) return;
+    this.askAt = now + 1500;
+    const zone = this.cx.table.zoneNames.find(this.cx.settings.zone);
+    const all = [...this.cx.table.machines.values()].filter((m) => m.addr !== '');
+    const near = all.filter((m) => m.zone === zone);
+    const list = near.length >= 3 ? near : all;
+    if (list.length === 0) this.reach = true;
+    for (let i = 0; i < Math.min(4, list.length); i++) {
+      const m = list[Math.floor((i * list.length) / 4 + this.answered) % list.length] as Machine;
+      const id = this.cx.nextId();
+      this.asking.add(id);
+      this.cx.emit({ t: 'ask', id, addr: m.addr });
+    }
+  }
+
+  asked(id: number, ok: boolean): void {
+    if (!this.asking.delete(id)) return;
+    this.answered = ok ? this.answered + 1 : 0;
+    // Two rounds answered whole: a share that comes home must not leave again at once.
+    if (this.answered < 6 || this.reach) return;
+    this.reach = true;
+    this.lostReachAt = -1;
+    for (const m of this.cx.table.machines.values()) m.lostCount = 0;
+    this.cx.log('info', 'workers can be reached again');
+  }
+
   private heardElsewhere(name: string, now: Ms): boolean {
     for (const p of this.cx.peers.values()) if (now - p.at < 5000 && p.status.heard.includes(name)) return true;
     return false;
   }
 
   /** A zone whose machines are all silent, or most of them and its controllers too, is cut off. */
-  private zoneCut(zone: number, z: { all: number; heard: number }, now: Ms): boolean {
+  private zoneCut(zone: number, z: ZoneView, now: Ms): boolean {
     const name = this.cx.table.zoneNames.name(zone);
     const { settings } = this.cx;
     if (name === settings.zone) return z.all >= 3 && z.heard === 0;
@@ -734,8 +857,8 @@
       this.send(m, [], [], true, now);
       return;
     }
-    // Silent: ask, rather than wait for the next report.
-    if (now - m.heardAt > this.cx.settings.workers.reportS * 2000) {
+    // Silent, not answering, or odd: ask, rather than wait for the next report.
+    if (now - m.heardAt > this.cx.settings.workers.reportS * 2000 || m.lostCount > 0 || m.ask) {
       this.send(m, [], [], true, now);
       return;
     }
@@ -794,8 +917,9 @@
     // Marked before anything leaves: from here on the tasks may be there.
     for (const p of sent) p.phase = 'sent';
     m.inflight = id;
+    m.ask = false;
     m.inflightAt = now;
-    this.commands.set(id, { machine: m, sent, probe });
+    this.commands.set(id, { machine: m, sent, probe, seen: { session: m.session, seq: m.seq } });
     this.cx.emit({
       t: 'command',
       id,
@@ -817,8 +941,15 @@
     m.inflight = 0;
     this.wantPlan = true;
     if (!this.held.has(m.share)) return;
+    if (r.kind === 'ok' || r.kind === 'stale') {
+      m.lostCount = 0;
+      m.lostSince = -1;
+    } else {
+      m.lostCount++;
+      if (m.lostSince < 0) m.lostSince = now;
+    }
     if (r.kind === 'ok') {
-      if (r.report) this.observe(m, r.report, now);
+      if (r.report) this.observe(m, r.report, now, c.seen);
       for (const p of c.sent) {
         if (p.phase === 'sent' && p.machine === m && m.placements.get(taskKey(p.job.spec.id, p.index, p.attempt)) === p)
           this.free(p);
@@ -834,7 +965,7 @@
     if (r.kind === 'stale') {
       for (const p of c.sent) if (p.phase === 'sent') p.phase = 'planned';
       if (r.report) {
-        this.observe(m, r.report, now);
+        this.observe(m, r.report, now, c.seen);
         if (r.report.token > this.cx.table.token(m)) m.retryAt = now + 1000;
       }
       return;
@@ -862,6 +993,7 @@
       m.giveBack === '' &&
       m.noticeUntil < 0 &&
       !this.faulty(m) &&
+      m.lostCount === 0 &&
       now - m.heardAt < this.cx.settings.workers.reportS * 2500
     );
   }
--- a/packages/server/src/service.ts
+++ b/packages/server/src/service.ts
@@ -102,6 +102,9 @@
           .command(e.addr, e.token, e.session, e.commands)
           .then((r) => back(() => core.commandResult(e.id, r, steady())));
         break;
+      case 'ask':
+        void this.workers.ask(e.addr).then((ok) => back(() => core.asked(e.id, ok, steady())));
+        break;
       case 'rent':
         void this.cloud.rent(e.rental).then((r) => back(() => core.rented(e.id, r, steady())));
         break;
--- a/packages/wire/src/peer.ts
+++ b/packages/wire/src/peer.ts
@@ -57,6 +57,10 @@
   lead: boolean;
   /** may answer workers: its state lease stands */
   entitled: boolean;
+  /** workers can be reached from there */
+  reach: boolean;
+  /** the state service answers it */
+  storeOk: boolean;
 }
 
 const root = protobuf.Root.fromJSON({
@@ -155,6 +159,8 @@
         plenty: { rule: 'repeated', type: 'string', id: 6 },
         lead: { type: 'bool', id: 7 },
         entitled: { type: 'bool', id: 9 },
+        reach: { type: 'bool', id: 10 },
+        storeOk: { type: 'bool', id: 11 },
       },
     },
   },
--- a/packages/workers/src/index.ts
+++ b/packages/workers/src/index.ts
@@ -28,6 +28,12 @@
     return client;
   }
 
+  /** Does the worker answer? */
+  async ask(addr: string): Promise<boolean> {
+    const o = await this.client(addr).call({ method: 'GET', path: PATHS.status, timeoutMs: 1500 });
+    return o.kind === 'answer' && o.status === 200;
+  }
+
   async command(addr: string, token: number, session: number, commands: Command[]): Promise<CommandOutcome> {
     const o = await this.client(addr).call({
       method: 'POST',
--- /dev/null
+++ b/test/apart.test.ts
@@ -0,0 +1,200 @@
+// Machines and controllers that are apart from some of what they need, and news that come late.
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { Report } from '@archpost/wire';
+import { Cluster, job, kept, type Node, type WorkerStandIn } from './stand-ins.js';
+
+function cluster(machines = 8): Cluster {
+  const c = new Cluster();
+  for (let i = 0; i < machines; i++) c.machine(`m${i}`, 'small', i % 2 === 0 ? 'east' : 'west');
+  c.settle();
+  return c;
+}
+
+const holderOf = (c: Cluster, share: number) => c.nodes.find((n) => n.up)?.core.table.holder(share)?.holder.node ?? '';
+const shareOf = (c: Cluster, id: string) => c.nodes.find((n) => n.up)?.core.table.jobs.get(id)?.share ?? -1;
+const machineOf = (c: Cluster, id: string) => c.workers.find((w) => w.name === c.on(id)[0]) as WorkerStandIn;
+/** Hands a copy of a report to a controller, as a network that held it back would. */
+const late = (n: Node, r: Report) => {
+  let said = 0;
+  n.report(structuredClone(r), (status) => {
+    said = status;
+  });
+  return said;
+};
+
+test('a machine whose reports come but that nothing reaches is given back, and its work goes on elsewhere', () => {
+  const c = cluster();
+  c.submit(job('run-w', { shape: 'service', rank: 3, cls: 'serve' }));
+  c.until('running', () => c.running('run-w') === 1);
+  const w = machineOf(c, 'run-w');
+  c.deaf = (_node, machine) => machine === w.name;
+  c.until('given back', () => w.dead, 40);
+  c.until('goes on elsewhere', () => c.running('run-w') === 1, 20);
+  assert.deepEqual(
+    c.workers.filter((x) => x.dead).map((x) => x.name),
+    [w.name],
+  );
+  kept(c, 'one-way-machine');
+});
+
+test('a controller that can reach no worker hands its shares over, throws no machine away, and they come home once', () => {
+  const c = cluster(9);
+  c.submit(job('run-v', { shape: 'service', tasks: 2, rank: 3, cls: 'serve' }));
+  c.until('running', () => c.running('run-v') === 2);
+  const share = shareOf(c, 'run-v');
+  const apart = holderOf(c, share);
+  const tokens = () => c.nodes.map((n) => n.core.table.holder(share)?.stamp ?? 0);
+  c.deaf = (node) => node === apart;
+  c.until('taken over', () => holderOf(c, share) !== apart && holderOf(c, share) !== '', 30);
+  c.submit(job('run-u', { team: c.specs.get('run-v')?.team ?? '', estimateS: 3 }));
+  c.until('the new holder starts work', () => c.finished.has('run-u/0'), 30);
+  c.run(20);
+  const during = tokens();
+  c.deaf = () => false;
+  c.until('home again', () => holderOf(c, share) === apart, 40);
+  const home = tokens();
+  c.run(30);
+  assert.deepEqual(tokens(), home, 'it does not go to and fro');
+  assert.notDeepEqual(home, during);
+  assert.deepEqual(
+    c.workers.filter((x) => x.dead),
+    [],
+  );
+  assert.equal(c.running('run-v'), 2);
+});
+
+test('late copies of reports make no dead machine seem alive, at its owner, at a keeper or after a takeover', () => {
+  const c = cluster();
+  c.submit(job('run-d', { shape: 'service', rank: 3, cls: 'serve' }));
+  c.until('running', () => c.running('run-d') === 1);
+  c.run(4);
+  const w = machineOf(c, 'run-d');
+  const copies: Report[] = [];
+  for (let i = 0; i < 8; i++) {
+    c.run(1);
+    copies.push(w.report());
+  }
+  w.hung = true;
+  const share = shareOf(c, 'run-d');
+  c.node(holderOf(c, share)).crash();
+  c.run(1);
+  c.nodes.find((n) => !n.up)?.restart();
+  const died = c.now;
+  for (let i = 0; i < 20 && !w.dead; i++) {
+    c.run(1);
+    // One to each controller, oldest first, for longer than its silence is borne.
+    for (const n of c.nodes) late(n, copies[i % copies.length] as Report);
+  }
+  assert.ok(w.dead, `not given back in ${(c.now - died) / 1000} s`);
+  c.until('goes on elsewhere', () => c.running('run-d') === 1, 20);
+  kept(c, 'late-reports');
+});
+
+test('late copies at the keeper of another zone do not hide that a machine is silent', () => {
+  const c = cluster();
+  const keeper = c.node('n1');
+  const w = c.workers.find((x) => {
+    const m = keeper.core.table.machines.get(x.name);
+    return x.zone === 'west' && m !== undefined && holderOf(c, m.share) !== 'n1';
+  });
+  assert.ok(w, 'a machine of the west whose share is held in the east');
+  const copies: Report[] = [];
+  for (let i = 0; i < 8; i++) {
+    c.run(1);
+    copies.push(w.report());
+  }
+  // Newer than all of them, so that the keeper has heard more than they say.
+  c.run(3);
+  w.hung = true;
+  c.run(1);
+  for (let i = 0; i < 9 && !w.dead; i++) {
+    c.run(1);
+    late(keeper, copies[i % copies.length] as Report);
+  }
+  assert.ok(w.dead, 'silent, whatever late copies say');
+});
+
+test('a late report neither frees, finishes nor moves anything that is newer', () => {
+  const c = cluster();
+  c.submit(job('run-e', { tasks: 2, estimateS: 30 }));
+  c.until('running', () => c.running('run-e') === 2);
+  const w = machineOf(c, 'run-e');
+  const owner = c.node(holderOf(c, shareOf(c, 'run-e')));
+  c.run(3);
+  const before: Report = { ...w.report(), seq: 1, tasks: [], addr: 'elsewhere', noticeS: 3 };
+  const done: Report = { ...before, seq: 2, tasks: w.report().tasks.map((t) => ({ ...t, state: 'exited', why: 'done' })) };
+  late(owner, before);
+  late(owner, done);
+  const m = owner.core.table.machines.get(w.name);
+  assert.equal(m?.addr, w.name);
+  assert.ok((m?.noticeUntil ?? 0) < 0);
+  c.run(5);
+  assert.equal(c.running('run-e'), 2);
+  // Nor right after a takeover, when what was seen last is forgotten.
+  owner.crash();
+  owner.restart();
+  c.until('holds again', () => owner.core.owner.held.size > 0, 20);
+  late(owner, done);
+  late(owner, before);
+  c.run(5);
+  assert.equal(c.running('run-e'), 2);
+  assert.equal(c.ask('run-e'), 'running');
+  c.until('done', () => c.ask('run-e') === 'done', 60);
+  assert.equal(c.trace.filter((l) => l.includes('starts run-e')).length, 2);
+});
+
+test('a machine that begins again with a low session is asked, and used again', () => {
+  const c = cluster();
+  const w = c.workers[0] as WorkerStandIn;
+  w.session = 5;
+  w.seq = 900;
+  c.run(10);
+  c.submit(job('run-k', { shape: 'service', tasks: 12, rank: 3, cls: 'serve' }));
+  c.until('running', () => c.running('run-k') === 12);
+  const had = w.tasks.size;
+  assert.ok(had > 0);
+  // Back within a moment: nothing of its earlier life is left.
+  w.session = 1;
+  w.seq = 0;
+  w.token = 0;
+  w.tasks.clear();
+  w.renewedAt = c.now;
+  c.until('all run again', () => c.running('run-k') === 12, 20);
+  assert.ok(!w.dead);
+});
+
+test('a report with a higher token than a controller knows is refused, so that the worker finds another', () => {
+  const c = cluster();
+  const w = c.workers[0] as WorkerStandIn;
+  c.run(5);
+  const r = { ...w.report(), token: w.token + 1_000 };
+  for (const n of c.nodes) assert.ok([503, 421].includes(late(n, r)));
+  assert.ok(c.nodes.some((n) => late(n, r) === 503));
+  assert.ok(c.nodes.some((n) => late(n, w.report()) === 200));
+});
+
+test('a controller that alone lost the state service says so to the load balancer; in an outage of all none does', () => {
+  const c = cluster();
+  const n2 = c.node('n2');
+  n2.refused = true;
+  c.run(8);
+  assert.equal(n2.core.ready, false);
+  assert.equal(c.node('n0').core.ready, true);
+  assert.equal(c.ask('run-none', n2), '503');
+  n2.refused = false;
+  c.run(2);
+  assert.equal(n2.core.ready, true);
+  // With the other controllers gone too, nothing tells it from an outage: it says no.
+  n2.refused = true;
+  c.cut = (a, b) =>
+    (a === 'n2') !== (b === 'n2') && (a.startsWith('n') || b.startsWith('n')) && !a.startsWith('m') && !b.startsWith('m');
+  c.run(8);
+  assert.equal(n2.core.ready, false);
+  c.cut = () => false;
+  n2.refused = false;
+  c.run(5);
+  c.stateDown = true;
+  c.run(10);
+  for (const n of c.nodes) assert.equal(n.core.ready, true);
+});
--- a/test/stand-ins.ts
+++ b/test/stand-ins.ts
@@ -307,6 +307,7 @@
     if (!node.up || cluster.cut(node.name, this.name)) return next();
     node.report(this.report(), (status, body) => {
       if (this.dead || this.hung || session !== this.session) return;
+      if (cluster.deaf(node.name, this.name)) return next();
       if (status === 421 && typeof body.home === 'string') {
         this.target = cluster.nodes.findIndex((n) => n.name === body.home);
         this.nextReport = cluster.now + 100;
@@ -443,12 +444,16 @@
       later(10, () => core.txnResult(e.id, r, cluster.now));
     } else if (e.t === 'command') {
       const w = cluster.workers.find((x) => x.name === e.machine);
-      if (!w || w.dead || w.hung || cluster.cut(this.name, e.machine)) {
+      if (!w || w.dead || w.hung || cluster.cut(this.name, e.machine) || cluster.deaf(this.name, e.machine)) {
         if (w?.hung) w.held.push(() => void w.command(e.token, e.session, e.commands));
         return later(2500, () => core.commandResult(e.id, { kind: 'lost' }, cluster.now));
       }
       const r = w.command(e.token, e.session, e.commands);
       later(10, () => core.commandResult(e.id, r, cluster.now));
+    } else if (e.t === 'ask') {
+      const w = cluster.workers.find((x) => x.name === e.addr);
+      const ok = w !== undefined && !w.dead && !w.hung && !cluster.cut(this.name, w.name) && !cluster.deaf(this.name, w.name);
+      later(ok ? 10 : 1500, () => core.asked(e.id, ok, cluster.now));
     } else if (e.t === 'status') {
       const copy: PeerStatus = structuredClone(e.status);
       for (const n of cluster.nodes) {
@@ -486,6 +491,8 @@
   loseTxn: ((e: Extract<Effect, { t: 'txn' }>, apply: () => void) => boolean) | null = null;
   /** true if the two can't reach each other */
   cut: (a: string, b: string) => boolean = () => false;
+  /** true if what this controller sends doesn't reach the machine, though its reports arrive */
+  deaf: (node: string, machine: string) => boolean = () => false;
   trace: string[] = [];
   private queue: { at: number; run: () => void }[] = [];
 
