--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -421,6 +421,7 @@
     });
   }
 
+  private lastFigures: Ms = 0;
   private telling = false;
   private toldAt: Ms = -1e12;
 
@@ -459,6 +460,15 @@
       this.typesAskedAt = now;
       this.emit({ t: 'types' });
     }
+    if (now - this.lastFigures > 10_000) {
+      this.lastFigures = now;
+      this.log('debug', 'figures', {
+        changes: this.writer.purposes(),
+        jobs: this.table.jobs.size,
+        machines: this.table.machines.size,
+        barriers: this.waiters.length,
+      });
+    }
     if (now - this.lastStatus > 700) {
       this.lastStatus = now;
       this.emit({ t: 'status', status: this.status(now) });
--- a/packages/core/src/writer.ts
+++ b/packages/core/src/writer.ts
@@ -38,6 +38,8 @@
   private budgetAt: Ms = 0;
   private pauseUntil: Ms = 0;
   private readonly busy = new Set<string>();
+  /** changes sent since the last look, by the kind of key */
+  private readonly sent = new Map<string, number>();
 
   constructor(
     private readonly limits: { writesPerS: number; txnOps: number },
@@ -54,6 +56,14 @@
     return this.queue.length;
   }
 
+  /** How many changes of each kind were sent since this was last asked, and what waits. */
+  purposes(): Record<string, number> {
+    const out: Record<string, number> = { waiting: this.queue.length };
+    for (const [kind, n] of this.sent) out[kind] = n;
+    this.sent.clear();
+    return out;
+  }
+
   add(w: PendingWrite): void {
     this.queue.push({ ...w, uncertain: false, sentValue: undefined });
   }
@@ -91,6 +101,8 @@
         w.sentValue = w.value();
         bytes += w.sentValue === undefined ? 0 : JSON.stringify(w.sentValue).length;
         keys.add(w.key);
+        const kind = w.key.slice(2, 3);
+        this.sent.set(kind, (this.sent.get(kind) ?? 0) + 1);
         for (const g of wanted) guards.set(g.key, g.stamp);
         batch.push(w);
       }
--- a/packages/server/src/service.ts
+++ b/packages/server/src/service.ts
@@ -61,6 +61,13 @@
     const pub = splitAddr(this.settings.publicAddr);
     await this.api.listen(pub.host, pub.port);
     interval(TICK_MS).subscribe(() => inbox.decision(() => core.tick(steady())));
+    // What each controller's processor time and memory go to is worth seeing at any size.
+    interval(10_000).subscribe(() => {
+      const cpu = process.cpuUsage();
+      const { rss, heapUsed } = process.memoryUsage();
+      const mb = (n: number) => Math.round(n / 1048576);
+      this.log.debug({ cpuS: (cpu.user + cpu.system) / 1e6, rssMb: mb(rss), heapMb: mb(heapUsed) }, 'process');
+    });
     this.log.info({ node: this.settings.core.node, addr: this.settings.publicAddr }, 'started');
   }
 
