--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -422,6 +422,27 @@
   }
 
   private lastFigures: Ms = 0;
+  /**
+   * The limit on changes goes to those who have something to write: a part to each in any
+   * case, the rest by what each says it wants. What a controller that isn't heard uses is
+   * not known: an equal share is left to it.
+   */
+  private shareWrites(now: Ms): void {
+    const n = Math.max(1, this.settings.nodes.length);
+    const all = this.settings.state.writeRps * 0.95;
+    const floor = (0.3 * all) / n;
+    const mine = this.writer.wanted(now);
+    let free = all - floor;
+    let wanted = mine;
+    for (const node of this.settings.nodes) {
+      if (node.name === this.settings.node) continue;
+      const heard = this.peerAlive(node.name, now);
+      free -= heard ? floor : all / n;
+      if (heard) wanted += this.peers.get(node.name)?.status.writes ?? 0;
+    }
+    this.writer.allow(Math.max(1, floor + (wanted > 0 ? (free * mine) / wanted : free / n)));
+  }
+
   private telling = false;
   private toldAt: Ms = -1e12;
 
@@ -436,6 +457,7 @@
       lead: this.lead.leading,
       entitled: this.replica.loaded && this.leaseValid(now),
       reach: this.owner.reach,
+      writes: Math.round(this.writer.wanted(now)),
       storeOk: now - this.storeAt < STORE_SILENT_MS,
     };
   }
@@ -469,6 +491,7 @@
         barriers: this.waiters.length,
       });
     }
+    this.shareWrites(now);
     if (now - this.lastStatus > 700) {
       this.lastStatus = now;
       this.emit({ t: 'status', status: this.status(now) });
--- a/packages/core/src/owner.ts
+++ b/packages/core/src/owner.ts
@@ -20,6 +20,9 @@
   lost: number;
 }
 
+/** A machine's images are stored this long after one has come: others may follow. */
+const IMAGES_DELAY_MS = 15_000;
+
 const NOTHING: Need = { cpus: 0, gpus: 0, memory: 0 };
 
 /** Attempts carry the holding's stamp, so no two holders ever use the same one. */
@@ -371,13 +374,28 @@
   private storeImages(m: Machine): void {
     if (m.cacheQueued) return;
     m.cacheQueued = true;
+    this.imagesDue.push({ m, at: this.now + IMAGES_DELAY_MS });
+  }
+
+  /** Several images of a machine in one write, and none while more urgent writes wait. */
+  private writeImages(now: Ms): void {
+    while (this.imagesDue.length > 0 && (this.imagesDue[0] as { at: Ms }).at <= now && this.cx.writer.length < 4) {
+      const m = (this.imagesDue.shift() as { m: Machine }).m;
+      if (this.held.has(m.share)) this.writeImagesOf(m);
+      else m.cacheQueued = false;
+    }
+  }
+
+  private readonly imagesDue: { m: Machine; at: Ms }[] = [];
+
+  private writeImagesOf(m: Machine): void {
     const key = KEY.cache(m.name);
     this.cx.writer.add({
       key,
       value: () => this.cx.table.imagesOf(m),
       guard: this.cx.replica.get(key)?.stamp ?? 0,
       urgency: 4,
-      until: this.now + 15_000,
+      until: this.now + 5_000,
       done: () => {
         m.cacheQueued = false;
       },
@@ -504,6 +522,7 @@
     if (this.held.size === 0 || !this.cx.leaseValid(now)) return;
     this.watchJobs(now);
     this.watchMachines(now);
+    this.writeImages(now);
     if (this.wantPlan && now - this.cx.freshAt < this.staleMs()) {
       this.wantPlan = false;
       this.plan(now);
--- a/packages/core/src/writer.ts
+++ b/packages/core/src/writer.ts
@@ -21,6 +21,8 @@
 interface Queued extends PendingWrite {
   /** an earlier send got no answer: it may be applied yet, or be applied already */
   uncertain: boolean;
+  /** when it was queued */
+  at: Ms;
   sentValue: unknown;
 }
 
@@ -34,7 +36,11 @@
   private queue: Queued[] = [];
   private readonly inflight = new Map<number, Queued[]>();
   private nextId = 1;
+  private rate: number;
   private budget: number;
+  private sweptAt: Ms = -1e12;
+  private recent = 0;
+  private recentAt: Ms = 0;
   private budgetAt: Ms = 0;
   private pauseUntil: Ms = 0;
   private readonly busy = new Set<string>();
@@ -49,6 +55,7 @@
     private readonly afterBarrier: (now: Ms, run: (now: Ms) => void) => void,
     private readonly leaseGone: () => void,
   ) {
+    this.rate = limits.writesPerS;
     this.budget = limits.writesPerS;
   }
 
@@ -56,6 +63,19 @@
     return this.queue.length;
   }
 
+  /** Changes a second that this controller could do with: what waits, and what it wrote lately. */
+  wanted(now: Ms): number {
+    const past = Math.max(0, (now - this.recentAt) / 1000);
+    this.recent *= 0.5 ** (past / 2);
+    this.recentAt = now;
+    return this.queue.length + this.recent / 3;
+  }
+
+  /** What of the service's limit this controller may use for now. */
+  allow(perS: number): void {
+    this.rate = perS;
+  }
+
   /** How many changes of each kind were sent since this was last asked, and what waits. */
   purposes(): Record<string, number> {
     const out: Record<string, number> = { waiting: this.queue.length };
@@ -65,20 +85,17 @@
   }
 
   add(w: PendingWrite): void {
-    this.queue.push({ ...w, uncertain: false, sentValue: undefined });
+    this.queue.push({ ...w, uncertain: false, sentValue: undefined, at: this.budgetAt });
   }
 
   flush(now: Ms): void {
-    this.budget = Math.min(
-      Math.max(this.limits.writesPerS, 4),
-      this.budget + ((now - this.budgetAt) / 1000) * this.limits.writesPerS,
-    );
+    this.budget = Math.min(Math.max(this.limits.writesPerS, 4), this.budget + ((now - this.budgetAt) / 1000) * this.rate);
     this.budgetAt = now;
-    for (const w of this.queue) if (w.until !== undefined && now > w.until && !w.uncertain) w.done('dropped', 0);
-    this.queue = this.queue.filter((w) => w.until === undefined || now <= w.until || w.uncertain);
+    if (now - this.sweptAt >= 100) this.sweep(now);
     if (now < this.pauseUntil) return;
     while (this.queue.length > 0 && this.inflight.size < 3 && this.budget >= 1) {
-      this.queue.sort((a, b) => a.urgency - b.urgency);
+      const before = (w: Queued) => (w.urgency > 1 && w.urgency <= 2 && now - w.at > 300 ? 1 : w.urgency);
+      this.queue.sort((a, b) => before(a) - before(b) || a.at - b.at);
       const batch: Queued[] = [];
       const rest: Queued[] = [];
       const keys = new Set<string>();
@@ -109,6 +126,8 @@
       if (batch.length === 0) return;
       this.queue = rest;
       this.budget -= batch.length;
+      this.wanted(now);
+      this.recent += batch.length;
       const id = this.nextId++;
       this.inflight.set(id, batch);
       for (const k of keys) this.busy.add(k);
@@ -125,6 +144,16 @@
     }
   }
 
+  /** Gives up on what has waited too long. */
+  private sweep(now: Ms): void {
+    this.sweptAt = now;
+    const over = this.queue.filter((w) => w.until !== undefined && now > w.until && !w.uncertain);
+    if (over.length === 0) return;
+    const gone = new Set(over);
+    this.queue = this.queue.filter((w) => !gone.has(w));
+    for (const w of over) w.done('dropped', 0);
+  }
+
   result(
     id: number,
     r:
--- a/packages/wire/src/peer.ts
+++ b/packages/wire/src/peer.ts
@@ -59,6 +59,8 @@
   entitled: boolean;
   /** workers can be reached from there */
   reach: boolean;
+  /** changes a second that it could do with */
+  writes: number;
   /** the state service answers it */
   storeOk: boolean;
 }
@@ -161,6 +163,7 @@
         entitled: { type: 'bool', id: 9 },
         reach: { type: 'bool', id: 10 },
         storeOk: { type: 'bool', id: 11 },
+        writes: { type: 'uint32', id: 12 },
       },
     },
   },
