--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -234,7 +234,7 @@
 
   report(id: number, r: Report, now: Ms): void {
     this.now = now;
-    if (!this.replica.loaded || !this.leaseValid(now)) {
+    if (!this.mayKeep(now)) {
       this.emit({ t: 'answer', id, status: 503, body: { error: 'not entitled' } });
       return;
     }
@@ -246,10 +246,6 @@
       return;
     }
     const holder = this.table.holder(m.share)?.holder.node ?? null;
-    if (holder === this.settings.node && !this.owner.mayAct(m.share, now)) {
-      this.emit({ t: 'answer', id, status: 503, body: { error: 'not entitled' } });
-      return;
-    }
     // It has been told a higher token than is known here: whatever is answered, it drops, and
     // stays here while its lease runs out. Another controller must answer it.
     if (r.token > this.table.token(m)) {
@@ -264,12 +260,13 @@
       return;
     }
     const stops: Command[] = [];
-    if (holder === this.settings.node) {
+    if (this.owner.mayAct(m.share, now)) {
       this.owner.observe(m, r, now);
     } else {
       // A keeper: the work must not die because its owner did, or can't be reached from here.
       this.hear(r, now);
-      if (holder !== null && this.peerAlive(holder, now)) this.emit({ t: 'relay', to: holder, report: r });
+      if (holder !== null && holder !== this.settings.node && this.peerAlive(holder, now))
+        this.emit({ t: 'relay', to: holder, report: r });
       for (const t of r.tasks) {
         if (t.state !== 'exited' && this.table.finals.get(t.job) === 'cancelled') {
           stops.push({ op: 'stop', job: t.job, index: t.index, attempt: t.attempt, graceS: 0 });
@@ -280,6 +277,18 @@
     this.after(now);
   }
 
+  /**
+   * May workers' reports be answered here, so that their leases go on? While our own lease
+   * stands; and in an outage for as long as a cancellation that we can't have learned of
+   * would still be kept: what we last let go on ends by its worker's lease in time. No
+   * command of ours goes out meanwhile, and nobody counts a worker's lease as over.
+   */
+  private mayKeep(now: Ms): boolean {
+    if (!this.replica.loaded) return false;
+    const { cancelS, leaseS, reportS } = this.settings.workers;
+    return this.leaseValid(now) || now - this.freshAt < (cancelS - leaseS - reportS) * 1000;
+  }
+
   /** A late copy must not make a silent machine seem alive: only what is newer counts. */
   private hear(r: Report, now: Ms): void {
     const old = this.heard.get(r.machine);
@@ -455,7 +464,7 @@
       heard: this.heardLately(now),
       plenty: this.lead.leading ? this.lead.plenty() : [],
       lead: this.lead.leading,
-      entitled: this.replica.loaded && this.leaseValid(now),
+      entitled: this.mayKeep(now),
       reach: this.owner.reach,
       writes: Math.round(this.writer.wanted(now)),
       storeOk: now - this.storeAt < STORE_SILENT_MS,
--- a/packages/core/src/holdings.ts
+++ b/packages/core/src/holdings.ts
@@ -139,7 +139,7 @@
   /** Is it seen to hold shares well: alive, with its lease and its workers? */
   private mayHold(node: string, now: Ms): boolean {
     const s = this.cx.peers.get(node)?.status;
-    return this.cx.peerAlive(node, now) && s?.entitled === true && s.reach;
+    return this.cx.peerAlive(node, now) && s?.entitled === true && s.storeOk && s.reach;
   }
 
   /** Our workers can't be reached from here: others take the shares over, if any is there to. */
--- a/packages/core/src/lead.ts
+++ b/packages/core/src/lead.ts
@@ -21,6 +21,25 @@
   at: Ms;
 }
 
+/** Work of a share that waits for room, and how much of it is still unserved on paper. */
+interface Want {
+  share: number;
+  d: PeerDemand;
+  left: number;
+}
+
+/** A machine given to a share a moment ago. */
+interface Granted {
+  share: number;
+  type: string;
+  zone: string;
+  spot: boolean;
+  at: Ms;
+}
+
+/** A granted machine is probed, planned for and told of within this time. */
+const GRANT_SHOWS_MS = 1500;
+
 interface Market {
   notBefore: Ms;
   refusals: number;
@@ -160,16 +179,24 @@
   private grantStrangers(now: Ms): void {
     const { table, writer } = this.cx;
     const all = new Map<string, Stranger>();
-    for (const s of this.strangersNow(now)) all.set(s.machine, s);
-    for (const p of this.cx.peers.values()) if (now - p.at < 5000) for (const s of p.status.strangers) all.set(s.machine, s);
+    const add = (s: Stranger) => {
+      if (!table.machines.has(s.machine) && !this.granting.has(s.machine)) all.set(s.machine, s);
+    };
+    for (const s of this.strangersNow(now)) add(s);
+    for (const p of this.cx.peers.values()) if (now - p.at < 5000) for (const s of p.status.strangers) add(s);
+    if (all.size === 0) return;
+    const wants = this.wants(this.shares(now));
+    for (const g of this.freshGrants(now)) {
+      const cap = this.typeOf(g.type);
+      if (cap) this.serve(wants, g.share, g, cap);
+    }
     for (const s of all.values()) {
-      if (table.machines.has(s.machine) || this.granting.has(s.machine)) continue;
       const gone = this.goneAt.get(s.machine);
       // A late report of a machine that was given back.
       if (gone !== undefined && now - gone < 120_000) continue;
       this.granting.add(s.machine);
-      const share = this.shareFor(s.type);
-      this.pendingGrants.set(s.machine, { share, type: s.type });
+      const share = this.shareInNeed(s, wants) ?? this.shareFor(s.type);
+      this.pendingGrants.set(s.machine, { share, type: s.type, zone: s.zone, spot: s.spot, at: now });
       writer.add({
         key: KEY.grant(s.machine),
         value: () => ({ s: share, a: s.addr, t: s.type, z: s.zone, sp: s.spot }),
@@ -179,14 +206,32 @@
         until: now + 8000,
         done: () => {
           this.granting.delete(s.machine);
-          this.pendingGrants.delete(s.machine);
           this.booting.delete(s.machine);
         },
       });
     }
   }
 
-  private readonly pendingGrants = new Map<string, { share: number; type: string }>();
+  private readonly pendingGrants = new Map<string, Granted>();
+
+  /** What was granted so lately that its share's wants don't show it yet. */
+  private freshGrants(now: Ms): Granted[] {
+    for (const [name, g] of this.pendingGrants) {
+      if (!this.granting.has(name) && now - g.at > GRANT_SHOWS_MS) this.pendingGrants.delete(name);
+    }
+    return [...this.pendingGrants.values()];
+  }
+
+  /** The share whose waiting work the machine serves best; what needs accelerators comes first on those. */
+  private shareInNeed(s: Stranger, wants: Want[]): number | null {
+    const cap = this.typeOf(s.type);
+    if (!cap) return null;
+    const fit = (w: Want) => w.left > 0 && copies(w.d, cap) >= 1 && this.suits(w.d, s.type, s.zone, s.spot);
+    const w = (cap.gpus > 0 && !s.spot ? wants.find((x) => x.d.gpus > 0 && fit(x)) : undefined) ?? wants.find(fit);
+    if (!w) return null;
+    this.serve(wants, w.share, s, cap);
+    return w.share;
+  }
 
   /** The share that is worst off for this type, by what its teams are guaranteed. */
   private shareFor(type: string): number {
@@ -198,14 +243,20 @@
       const s = m.moveTo >= 0 ? m.moveTo : m.share;
       if (m.type === ti && s >= 0) have[s] = (have[s] ?? 0) + 1;
     }
-    for (const g of this.pendingGrants.values()) if (g.type === type) have[g.share] = (have[g.share] ?? 0) + 1;
-    const weight = new Array<number>(settings.shares).fill(0.01);
+    for (const [name, g] of this.pendingGrants)
+      if (g.type === type && !table.machines.has(name)) have[g.share] = (have[g.share] ?? 0) + 1;
+    const weight = new Array<number>(settings.shares).fill(0);
     settings.teams.forEach((t, i) => {
       const s = table.teamShare[i] ?? 0;
       weight[s] = (weight[s] ?? 0) + ((cap?.gpus ?? 0) > 0 ? t.gpus + 0.1 : 1);
     });
-    let best = 0;
-    for (let k = 1; k < settings.shares; k++) {
+    // A share without teams has no use for machines.
+    let best = Math.max(
+      0,
+      weight.findIndex((w) => w > 0),
+    );
+    for (let k = best + 1; k < settings.shares; k++) {
+      if ((weight[k] as number) <= 0) continue;
       if ((have[k] as number) / (weight[k] as number) < (have[best] as number) / (weight[best] as number)) best = k;
     }
     return best;
@@ -220,16 +271,17 @@
       const m = table.machines.get(name);
       if (!m || (m.moveTo < 0 && now - at > 3000)) this.moves.delete(name);
     }
-    const wants: { share: number; d: PeerDemand; left: number }[] = [];
-    for (const s of shares.values())
-      for (const d of s.demands) if (d.waitS > 0.2) wants.push({ share: s.share, d, left: d.count });
-    wants.sort((a, b) => b.d.rank - a.d.rank || Number(b.d.within) - Number(a.d.within) || b.d.waitS - a.d.waitS);
+    const wants = this.wants(shares);
+    for (const g of this.freshGrants(now)) {
+      const cap = this.typeOf(g.type);
+      if (cap) this.serve(wants, g.share, g, cap);
+    }
     const taken = new Set<string>();
     // What is on its way already serves the first who want it.
     for (const [name] of this.moves) {
       const m = table.machines.get(name);
       if (!m || m.moveTo < 0 || !m.cap) continue;
-      this.serve(wants, m.moveTo, m, m.cap);
+      this.serve(wants, m.moveTo, { type: m.cap.name, zone: table.zoneNames.name(m.zone), spot: m.spot }, m.cap);
       taken.add(name);
     }
     const idle = (s: PeerShare) =>
@@ -297,11 +349,20 @@
     }
   }
 
-  private serve(wants: { share: number; d: PeerDemand; left: number }[], share: number, m: Machine, cap: MachineType): void {
+  /** What waits for room, the most urgent first. */
+  private wants(shares: Map<number, PeerShare>): Want[] {
+    const out: Want[] = [];
+    for (const s of shares.values()) {
+      for (const d of s.demands) if (d.waitS > 0.2) out.push({ share: s.share, d, left: d.count });
+    }
+    return out.sort((a, b) => b.d.rank - a.d.rank || Number(b.d.within) - Number(a.d.within) || b.d.waitS - a.d.waitS);
+  }
+
+  private serve(wants: Want[], share: number, m: { type: string; zone: string; spot: boolean }, cap: MachineType): void {
     const free: Need = { cpus: cap.cpus, gpus: cap.gpus, memory: cap.memory };
     for (const w of wants) {
       if (w.share !== share || w.left <= 0) continue;
-      if (!this.suits(w.d, cap.name, this.cx.table.zoneNames.name(m.zone), m.spot)) continue;
+      if (!this.suits(w.d, m.type, m.zone, m.spot)) continue;
       const n = Math.min(w.left, copies(w.d, free));
       w.left -= n;
       free.cpus -= n * w.d.cpus;
@@ -431,7 +492,7 @@
     shares: Map<number, PeerShare>,
     now: Ms,
   ): { type: string; zone: string; spot: boolean; count: number } | null {
-    const coming = this.onTheWay(now).map((c) => ({ c, t: this.typeOf(c.type) }));
+    const coming = [...this.onTheWay(now), ...this.freshGrants(now)].map((c) => ({ c, t: this.typeOf(c.type) }));
     const free = coming
       .filter((x) => x.t)
       .map((x) => ({ ...x, cpus: x.t?.cpus ?? 0, gpus: x.t?.gpus ?? 0, memory: x.t?.memory ?? 0 }));
--- a/packages/core/src/model.ts
+++ b/packages/core/src/model.ts
@@ -231,6 +231,8 @@
   returnAt: Ms = 0;
   idleSince: Ms = 0;
   grantQueued = false;
+  /** takes no more work without accelerators until then: it is being emptied */
+  emptyUntil: Ms = -1;
   used: Need = { cpus: 0, gpus: 0, memory: 0 };
 
   constructor(
--- a/packages/core/src/owner.ts
+++ b/packages/core/src/owner.ts
@@ -23,6 +23,18 @@
 /** A machine's images are stored this long after one has come: others may follow. */
 const IMAGES_DELAY_MS = 15_000;
 
+/** How often services of one machine are gathered elsewhere. */
+const GATHER_MS = 4000;
+
+/** A service that has run for this long may be moved; a machine that was emptied takes none for as long. */
+const SETTLED_MS = 40_000;
+
+/** What has no room is planned for again after this long, if nothing else happens. */
+const REPLAN_MS = 600;
+
+/** Places weighed by a plan for which planning pauses a millisecond. */
+const WEIGHED_PER_MS = 25;
+
 const NOTHING: Need = { cpus: 0, gpus: 0, memory: 0 };
 
 /** Attempts carry the holding's stamp, so no two holders ever use the same one. */
@@ -35,6 +47,9 @@
   readonly held = new Map<number, Held>();
   private attempts = 1;
   private wantPlan = true;
+  private unsettled = false;
+  private plannedAt: Ms = -1e12;
+  private nextPlanAt: Ms = -1e12;
   private lastTick: Ms = 0;
   private lastSummary: Ms = 0;
   private readonly commands = new Map<
@@ -523,8 +538,12 @@
     this.watchJobs(now);
     this.watchMachines(now);
     this.writeImages(now);
-    if (this.wantPlan && now - this.cx.freshAt < this.staleMs()) {
+    // What has no room looks for it now and then; what happens is planned for soon. A plan
+    // that weighs many places is followed by a longer pause, so that reports never wait long.
+    const again = this.unsettled && now - this.plannedAt >= REPLAN_MS;
+    if ((this.wantPlan || again) && now >= this.nextPlanAt && now - this.cx.freshAt < this.staleMs()) {
       this.wantPlan = false;
+      this.plannedAt = now;
       this.plan(now);
     }
     for (const m of this.cx.table.machines.values()) if (this.held.has(m.share)) this.flush(m, now);
@@ -1098,6 +1117,7 @@
       if (this.held.has(m.share) && this.usable(m, now)) rooms.push(this.roomOf(m));
     const use = this.teamUse();
     const guar = this.guarantees();
+    let weighed = 0;
     const queue = [...this.cx.table.jobs.values()]
       .filter((j) => this.held.has(j.share) && j.state === 'live' && j.pendingCount() > 0)
       .map((j) => ({ j, g: guar.get(j) ?? { within: false, firm: false }, due: this.dueOf(j, now) }))
@@ -1113,6 +1133,7 @@
         continue;
       }
       if (this.unproven(j)) continue;
+      weighed += rooms.length;
       const mine = rooms.filter((r) => r.machine.share === j.share && allowed(j, r.machine) && !j.errors.has(r.machine.name));
       const left =
         j.spec.shape === 'gang'
@@ -1120,8 +1141,12 @@
           : this.planTasks(j, g.within, mine, use, guar, now);
       if (left > 0) this.unmet.push({ job: j, count: left, within: g.within });
     }
-    if (later || this.unmet.length > 0) this.wantPlan = true;
+    this.nextPlanAt = now + Math.min(REPLAN_MS, weighed / WEIGHED_PER_MS);
+    this.unsettled = later || this.unmet.length > 0;
+    this.gangsWait.clear();
+    for (const u of this.unmet) if (u.job.spec.gpus > 0) this.gangsWait.add(u.job.share);
     this.clearForGangs(now);
+    this.gather(now);
   }
 
   private quotaLeft(j: Job, use: { cpus: number; gpus: number }[]): number {
@@ -1166,6 +1191,7 @@
   private mayUse(j: Job, r: Room, waitedMs: Ms): boolean {
     const cap = r.machine.cap;
     // Fetches share a machine's rate: a small image would hold up a gang's large one.
+    if (j.spec.gpus === 0 && this.now < r.machine.emptyUntil) return false;
     if (j.spec.gpus === 0 && !r.machine.images.has(j.image) && this.fetchesForGang(r.machine)) return false;
     if (j.spec.gpus > 0 || !cap || cap.gpus === 0 || r.machine.spot) return true;
     if (j.spec.shape !== 'service') return this.arrayMayUse(j, r);
@@ -1192,12 +1218,16 @@
   /** Independent tasks take a dear machine whole only when their time runs out. */
   private arrayMayUse(j: Job, r: Room): boolean {
     const cap = r.machine.cap;
-    if (!cap || !this.cx.plenty(cap.name)) return true;
+    if (!cap) return true;
     const want = this.cx.table.gpuNeed.get(r.machine.type);
-    if (!want) return true;
+    // Where no more are to be had and what needs them outranks this, it does no harm there.
+    if (!want || (want.rank > j.spec.rank && !this.cx.plenty(cap.name))) return true;
     let cpus = j.spec.cpus;
     for (const p of r.machine.placements.values()) if (p.phase !== 'exited' && p.job.spec.gpus === 0) cpus += p.job.spec.cpus;
-    return cpus <= cap.cpus - want.cpus + 1e-6 || this.dueOf(j, this.now) - this.now < 25_000;
+    if (cpus <= cap.cpus - want.cpus + EPS) return true;
+    if (this.gangsWait.has(j.share)) return false;
+    const due = this.dueOf(j, this.now) - this.now;
+    return due < this.cx.table.bootMs(j) * 1.5 || due > 1e6;
   }
 
   /** Bears more services than accelerator work leaves room for, or is in a share without such work. */
@@ -1298,6 +1328,55 @@
   }
 
   private clearedAt: Ms = -1e12;
+  private gatheredAt: Ms = -1e12;
+  /** shares with work for accelerators that has no room */
+  private readonly gangsWait = new Set<number>();
+
+  /**
+   * A few services keep a machine with accelerators from being given back. Where others have
+   * room for them, with their images at hand, they move there, one machine at a time.
+   */
+  private gather(now: Ms): void {
+    if (this.cx.settings.policy.hold || now - this.gatheredAt < GATHER_MS) return;
+    this.gatheredAt = now;
+    for (const share of this.held.keys()) {
+      let best: { m: Machine; services: Placement[] } | null = null;
+      const rooms: Room[] = [];
+      for (const m of this.cx.table.machines.values()) {
+        if (m.share !== share || !m.cap || m.spot || !this.usable(m, now) || now < m.emptyUntil) continue;
+        const services = this.servicesOn(m);
+        if (m.cap.gpus === 0 || services.length > 0) rooms.push(this.roomOf(m));
+        if (m.cap.gpus === 0 || services.length === 0 || (best && services.length >= best.services.length)) continue;
+        if (services.some((p) => p.stop !== null || p.ranSince < 0 || now - p.ranSince < SETTLED_MS)) continue;
+        if ([...m.placements.values()].some((p) => p.job.spec.gpus > 0 || p.phase === 'planned')) continue;
+        best = { m, services };
+      }
+      if (!best) continue;
+      const { m, services } = best;
+      const use = this.serviceUse(m).cpus;
+      if (use > (m.cap?.cpus ?? 0) / 2) continue;
+      const free = rooms
+        .filter((r) => r.machine !== m && (r.machine.cap?.gpus === 0 || this.serviceUse(r.machine).cpus > use))
+        .sort((a, b) => a.cpus - b.cpus);
+      const all = services.every((p) => {
+        const counts = zoneCounts(p.job);
+        counts.set(m.zone, (counts.get(m.zone) ?? 1) - 1);
+        const r = free.find(
+          (x) =>
+            x.machine.images.has(p.job.image) &&
+            fits(p.job.need, x) &&
+            allowed(p.job, x.machine) &&
+            zoneAllows(p.job, counts, x.machine.zone),
+        );
+        if (r) take(r, p.job.need);
+        return r !== undefined;
+      });
+      if (!all) continue;
+      this.cx.log('debug', 'gathering services of a machine elsewhere', { machine: m.name, services: services.length });
+      m.emptyUntil = now + SETTLED_MS;
+      for (const p of services) this.stop(p, 0);
+    }
+  }
 
   private gpuPenalty(j: Job, r: Room): number {
     const m = r.machine;
--- a/packages/core/src/table.ts
+++ b/packages/core/src/table.ts
@@ -132,6 +132,16 @@
     return {};
   }
 
+  /** How soon a machine without accelerators can be there for the job. */
+  bootMs(job: Job): Ms {
+    let s = Number.POSITIVE_INFINITY;
+    for (const t of this.types) {
+      if (t && t.gpus === 0 && fits(job.need, t) && (job.types === null || job.types.includes(this.typeNames.find(t.name))))
+        s = Math.min(s, t.bootS);
+    }
+    return s === Number.POSITIVE_INFINITY ? 0 : s * 1000;
+  }
+
   /** The largest accelerator task seen that fits each type: what such a machine is wanted for. */
   readonly gpuNeed = new Map<number, { cpus: number; gpus: number; memory: number; rank: number }>();
 
