--- a/packages/server/src/service.ts
+++ b/packages/server/src/service.ts
@@ -61,6 +61,13 @@
     const pub = splitAddr(this.settings.publicAddr);
     await this.api.listen(pub.host, pub.port);
     interval(TICK_MS).subscribe(() => inbox.decision(() => core.tick(steady())));
+    // What each controller's processor time and memory go to is worth seeing at any size.
+    interval(10_000).subscribe(() => {
+      const cpu = process.cpuUsage();
+      const { rss, heapUsed } = process.memoryUsage();
+      const mb = (n: number) => Math.round(n / 1048576);
+      this.log.debug({ cpuS: (cpu.user + cpu.system) / 1e6, rssMb: mb(rss), heapMb: mb(heapUsed) }, 'process');
+    });
     this.log.info({ node: this.settings.core.node, addr: this.settings.publicAddr }, 'started');
   }
 
@@ -102,6 +109,9 @@
           .command(e.addr, e.token, e.session, e.commands)
           .then((r) => back(() => core.commandResult(e.id, r, steady())));
         break;
+      case 'ask':
+        void this.workers.ask(e.addr).then((ok) => back(() => core.asked(e.id, ok, steady())));
+        break;
       case 'rent':
         void this.cloud.rent(e.rental).then((r) => back(() => core.rented(e.id, r, steady())));
         break;
