--- a/packages/core/src/model.ts
+++ b/packages/core/src/model.ts
@@ -140,6 +140,9 @@
   waitsSince: Ms = -1;
   errors = new Set<string>();
   progressQueued = false;
+  /** some of its tasks are done and not stored as such */
+  progressDirty = true;
+  progressAt: Ms = -1e12;
   finishQueued = false;
   /** gang: attempt in use; 0: none */
   gangAttempt = 0;
--- a/packages/core/src/owner.ts
+++ b/packages/core/src/owner.ts
@@ -1,7 +1,7 @@
 import type { Command, PeerDemand, PeerHeard, PeerMachine, PeerShare, Report, TaskReport } from '@archpost/wire';
 import type { Context } from './context.js';
 import type { Job, Machine, Ms, Need, Placement } from './model.js';
-import { allowed, domains, EPS, fits, placeGang, type Room, take, zoneAllows, zoneCounts } from './placement.js';
+import { allowed, copies, domains, EPS, fits, placeGang, type Room, take, zoneAllows, zoneCounts } from './placement.js';
 import { type JobRecord, KEY, packBits } from './table.js';
 
 /** A share that this controller holds. */
@@ -23,6 +23,9 @@
 /** A machine's images are stored this long after one has come: others may follow. */
 const IMAGES_DELAY_MS = 15_000;
 
+/** A job's completed tasks are stored this often at most, and at once when all are. */
+const PROGRESS_MS = 3000;
+
 /** How often services of one machine are gathered elsewhere. */
 const GATHER_MS = 4000;
 
@@ -130,6 +133,7 @@
     j.gangAttempt = 0;
     j.gangFailed = false;
     j.progressQueued = false;
+    j.progressDirty = true;
     j.finishQueued = false;
   }
 
@@ -474,6 +478,7 @@
       j.done[index] = 1;
       j.doneCount++;
     }
+    j.progressDirty = true;
     // A gang completes together: if one task is done, all are.
     if (j.spec.shape === 'gang') {
       j.done.fill(1);
@@ -507,7 +512,8 @@
       });
       return;
     }
-    if (j.progressQueued) return;
+    // Several completions in one write: until it is stored, the worker keeps the result.
+    if (j.progressQueued || !j.progressDirty || this.now - j.progressAt < PROGRESS_MS) return;
     const size = this.cx.table.chunk;
     for (let k = 0; k * size < j.spec.tasks; k++) {
       const to = Math.min(j.spec.tasks, (k + 1) * size);
@@ -517,6 +523,7 @@
       const key = KEY.progress(j.spec.id, k);
       let snap = new Uint8Array(0);
       j.progressQueued = true;
+      j.progressAt = this.now;
       this.cx.writer.add({
         key,
         value: () => {
@@ -533,6 +540,7 @@
       });
       return;
     }
+    j.progressDirty = false;
   }
 
   // ---- the tick
@@ -1298,7 +1306,7 @@
       const move = this.servicesOn(m);
       // What was moved lately stays where it is: moving it on would keep it from running.
       if (move.some((p) => now - p.job.lastStop < 60_000)) continue;
-      if (move.length === 0 || move.length > (m.cap.gpus > 0 ? 12 : 4)) continue;
+      if (move.length === 0 || (m.cap.gpus === 0 && move.length > 4)) continue;
       const tried = rooms
         .filter((r) => r.machine !== m && r.machine.placements.size > 0 && this.wider(r.machine, m))
         .map((r) => ({ ...r }));
@@ -1319,27 +1327,43 @@
     return this.serviceUse(to).cpus > this.serviceUse(from).cpus;
   }
 
-  /** Clears a machine with accelerators of services when a gang here has no other place. */
+  /**
+   * Clears machines with accelerators of services when a gang here has no other place: as
+   * many as it lacks, or none.
+   */
   private clearForGangs(now: Ms): void {
     if (now - this.clearedAt < 5000) return;
-    for (const u of this.unmet) {
-      if (u.job.spec.gpus === 0 || u.job.spec.shape !== 'gang' || u.job.spec.tasks > 1) continue;
-      for (const m of this.clearable(u.job.share, now)) {
-        if (!allowed(u.job, m) || !this.usable(m, now) || !m.cap) continue;
-        const plain = this.serviceUse(m);
-        let busy = false;
-        for (const p of m.placements.values()) if (p.phase !== 'exited' && p.job.spec.gpus > 0) busy = true;
-        if (
-          busy ||
-          plain.cpus === 0 ||
-          fits(u.job.need, { cpus: m.cap.cpus - plain.cpus, gpus: m.cap.gpus, memory: m.cap.memory - plain.memory })
-        )
-          continue;
-        this.clearedAt = now;
+    for (const { job } of this.unmet) {
+      if (job.spec.gpus === 0 || job.spec.shape !== 'gang') continue;
+      const plain: Machine[] = [];
+      let room = 0;
+      const can = this.clearable(job.share, now);
+      for (const m of this.cx.table.machines.values()) {
+        if (m.share !== job.share || !m.cap || !allowed(job, m) || !this.usable(m, now)) continue;
+        const here = copies(job.need, this.roomOf(m));
+        room += here;
+        if (here > 0 || !can.has(m)) continue;
+        if ([...m.placements.values()].some((p) => p.phase !== 'exited' && p.job.spec.gpus > 0)) continue;
+        const use = this.serviceUse(m);
+        const without: Need = { cpus: m.cap.cpus - use.cpus, gpus: m.cap.gpus, memory: m.cap.memory - use.memory };
+        if (use.cpus > 0 && !fits(job.need, without)) plain.push(m);
+      }
+      if (plain.length === 0 || room >= job.spec.tasks) continue;
+      plain.sort((a, b) => this.serviceUse(a).cpus - this.serviceUse(b).cpus);
+      let gained = 0;
+      const chosen = plain.filter((m) => {
+        if (room + gained >= job.spec.tasks) return false;
+        gained += copies(job.need, m.cap as Need);
+        return true;
+      });
+      if (room + gained < job.spec.tasks) continue;
+      this.clearedAt = now;
+      for (const m of chosen) {
         this.cx.log('info', 'moving services off a machine with accelerators', { machine: m.name });
+        m.emptyUntil = now + 2 * this.cx.settings.policy.planWaitS * 1000;
         for (const p of this.servicesOn(m)) this.stop(p, 0);
-        return;
       }
+      return;
     }
   }
 
