--- a/packages/core/src/lead.ts
+++ b/packages/core/src/lead.ts
@@ -492,7 +492,18 @@
     shares: Map<number, PeerShare>,
     now: Ms,
   ): { type: string; zone: string; spot: boolean; count: number } | null {
-    const coming = [...this.onTheWay(now), ...this.freshGrants(now)].map((c) => ({ c, t: this.typeOf(c.type) }));
+    const coming: { c: { type: string; zone: string; spot: boolean; idle?: boolean }; t: MachineType | null }[] = [
+      ...this.onTheWay(now),
+      ...this.freshGrants(now),
+    ].map((c) => ({ c, t: this.typeOf(c.type) }));
+    // Idle machines of other shares are about to be moved to where they are wanted.
+    for (const s of shares.values()) {
+      for (const p of s.machines) {
+        const m = this.cx.table.machines.get(p.name);
+        if (!m?.cap || m.spot || m.retire || p.tasks > 0 || (p.firmRank >= 0 && m.moveTo < 0)) continue;
+        coming.push({ c: { type: m.cap.name, zone: this.cx.table.zoneNames.name(m.zone), spot: false, idle: true }, t: m.cap });
+      }
+    }
     const free = coming
       .filter((x) => x.t)
       .map((x) => ({ ...x, cpus: x.t?.cpus ?? 0, gpus: x.t?.gpus ?? 0, memory: x.t?.memory ?? 0 }));
@@ -511,6 +522,7 @@
         for (const f of free) {
           if (left <= 0) return;
           if (!this.suits(d, f.c.type, f.c.zone, f.c.spot)) continue;
+          if (f.c.idle && d.gpus === 0 && (d.rank < 2 || (f.t?.gpus ?? 0) > 0)) continue;
           const n = Math.min(left, copies(d, f));
           left -= n;
           f.cpus -= n * d.cpus;
@@ -614,7 +626,13 @@
         const cap = m.cap;
         if (
           cap &&
-          demands.some((d) => copies(d, cap) >= 1 && this.suits(d, cap.name, this.cx.table.zoneNames.name(m.zone), m.spot))
+          demands.some(
+            (d) =>
+              copies(d, cap) >= 1 &&
+              this.suits(d, cap.name, this.cx.table.zoneNames.name(m.zone), m.spot) &&
+              // It has been idle all the while: lesser work doesn't take a dear machine for itself.
+              (d.gpus > 0 || d.rank > 1 || cap.gpus === 0 || m.spot),
+          )
         )
           continue;
         budget--;
--- a/packages/core/src/owner.ts
+++ b/packages/core/src/owner.ts
@@ -1385,10 +1385,11 @@
       for (const m of this.cx.table.machines.values()) {
         if (m.share !== share || !m.cap || m.spot || !this.usable(m, now) || now < m.emptyUntil) continue;
         const services = this.servicesOn(m);
-        if (m.cap.gpus === 0 || services.length > 0) rooms.push(this.roomOf(m));
+        const gpuWork = [...m.placements.values()].some((p) => p.phase !== 'exited' && p.job.spec.gpus > 0);
+        if (m.cap.gpus === 0 || services.length > 0 || gpuWork) rooms.push(this.roomOf(m));
         if (m.cap.gpus === 0 || services.length === 0 || (best && services.length >= best.services.length)) continue;
         if (services.some((p) => p.stop !== null || p.ranSince < 0 || now - p.ranSince < SETTLED_MS)) continue;
-        if ([...m.placements.values()].some((p) => p.job.spec.gpus > 0 || p.phase === 'planned')) continue;
+        if (gpuWork || [...m.placements.values()].some((p) => p.phase === 'planned')) continue;
         best = { m, services };
       }
       if (!best) continue;
@@ -1396,7 +1397,10 @@
       const use = this.serviceUse(m).cpus;
       if (use > (m.cap?.cpus ?? 0) / 2) continue;
       const free = rooms
-        .filter((r) => r.machine !== m && (r.machine.cap?.gpus === 0 || this.serviceUse(r.machine).cpus > use))
+        .filter(
+          (r) =>
+            r.machine !== m && (r.machine.cap?.gpus === 0 || this.keptAnyway(r.machine) || this.serviceUse(r.machine).cpus > use),
+        )
         .sort((a, b) => a.cpus - b.cpus);
       const all = services.every((p) => {
         const counts = zoneCounts(p.job);
