--- a/packages/core/src/model.ts
+++ b/packages/core/src/model.ts
@@ -62,7 +62,7 @@
   | { t: 'list' }
   | { t: 'types' }
   | { t: 'answer'; id: number; status: number; body: unknown; retryAfterS?: number }
-  | { t: 'status'; status: PeerStatus }
+  | { t: 'status'; to: string; status: PeerStatus }
   | { t: 'relay'; to: string; report: Report }
   | { t: 'log'; level: Level; msg: string; data?: Record<string, unknown> };
 
@@ -140,6 +140,9 @@
   waitsSince: Ms = -1;
   errors = new Set<string>();
   progressQueued = false;
+  /** some of its tasks are done and not stored as such */
+  progressDirty = true;
+  progressAt: Ms = -1e12;
   finishQueued = false;
   /** gang: attempt in use; 0: none */
   gangAttempt = 0;
@@ -209,6 +212,8 @@
   inflightAt: Ms = 0;
   retryAt: Ms = 0;
   heardAt: Ms = 0;
+  /** when another controller last said that it hears it */
+  elsewhereAt: Ms = -1e12;
   /** commands in a row that got no answer, and since when; heard is not reachable */
   lostCount = 0;
   lostSince: Ms = -1;
--- a/packages/core/src/owner.ts
+++ b/packages/core/src/owner.ts
@@ -1,7 +1,7 @@
-import type { Command, PeerDemand, PeerMachine, PeerShare, Report, TaskReport } from '@archpost/wire';
+import type { Command, PeerDemand, PeerHeard, PeerMachine, PeerShare, Report, TaskReport } from '@archpost/wire';
 import type { Context } from './context.js';
 import type { Job, Machine, Ms, Need, Placement } from './model.js';
-import { allowed, domains, EPS, fits, placeGang, type Room, take, zoneAllows, zoneCounts } from './placement.js';
+import { allowed, copies, domains, EPS, fits, placeGang, type Room, take, zoneAllows, zoneCounts } from './placement.js';
 import { type JobRecord, KEY, packBits } from './table.js';
 
 /** A share that this controller holds. */
@@ -23,6 +23,9 @@
 /** A machine's images are stored this long after one has come: others may follow. */
 const IMAGES_DELAY_MS = 15_000;
 
+/** A job's completed tasks are stored this often at most, and at once when all are. */
+const PROGRESS_MS = 3000;
+
 /** How often services of one machine are gathered elsewhere. */
 const GATHER_MS = 4000;
 
@@ -130,6 +133,7 @@
     j.gangAttempt = 0;
     j.gangFailed = false;
     j.progressQueued = false;
+    j.progressDirty = true;
     j.finishQueued = false;
   }
 
@@ -301,6 +305,22 @@
     }
   }
 
+  /** A keeper says that a machine's reports go on as they were. */
+  unchanged(h: PeerHeard, now: Ms): void {
+    const m = this.cx.table.machines.get(h.machine);
+    if (!m || !this.mayAct(m.share, now)) return;
+    m.elsewhereAt = now;
+    if (!m.resolved || h.session !== m.session || h.seq <= m.seq) return;
+    if (m.seq < h.whole) {
+      // The report that it refers to did not come here.
+      this.doubt(m, now);
+      return;
+    }
+    m.seq = h.seq;
+    m.heardAt = now;
+    if (m.giveBack === 'silent' && !m.returning) m.giveBack = '';
+  }
+
   /** Asks the machine how it stands, now and then. */
   doubt(m: Machine, now: Ms): void {
     if (now - m.askedAt < this.cx.settings.workers.reportS * 2000) return;
@@ -458,6 +478,7 @@
       j.done[index] = 1;
       j.doneCount++;
     }
+    j.progressDirty = true;
     // A gang completes together: if one task is done, all are.
     if (j.spec.shape === 'gang') {
       j.done.fill(1);
@@ -491,7 +512,8 @@
       });
       return;
     }
-    if (j.progressQueued) return;
+    // Several completions in one write: until it is stored, the worker keeps the result.
+    if (j.progressQueued || !j.progressDirty || this.now - j.progressAt < PROGRESS_MS) return;
     const size = this.cx.table.chunk;
     for (let k = 0; k * size < j.spec.tasks; k++) {
       const to = Math.min(j.spec.tasks, (k + 1) * size);
@@ -501,6 +523,7 @@
       const key = KEY.progress(j.spec.id, k);
       let snap = new Uint8Array(0);
       j.progressQueued = true;
+      j.progressAt = this.now;
       this.cx.writer.add({
         key,
         value: () => {
@@ -517,6 +540,7 @@
       });
       return;
     }
+    j.progressDirty = false;
   }
 
   // ---- the tick
@@ -648,7 +672,7 @@
       const silent = now - m.heardAt;
       // Once its notice is over a silent machine is most likely taken.
       const taken = m.noticeUntil > 0 && now > m.noticeUntil && silent > this.cx.settings.workers.reportS * 1500;
-      if ((silent > silentMs || taken) && !m.giveBack && !this.heardElsewhere(m.name, now)) {
+      if ((silent > silentMs || taken) && !m.giveBack && !this.heardElsewhere(m, now)) {
         const cut = this.cutZones.has(m.zone);
         // Cancelled work must be gone in time, whatever the reason for the silence.
         const cancelled = [...m.placements.values()].some((p) => p.job.state === 'cancelled');
@@ -762,9 +786,8 @@
     this.cx.log('info', 'workers can be reached again');
   }
 
-  private heardElsewhere(name: string, now: Ms): boolean {
-    for (const p of this.cx.peers.values()) if (now - p.at < 5000 && p.status.heard.includes(name)) return true;
-    return false;
+  private heardElsewhere(m: Machine, now: Ms): boolean {
+    return now - m.elsewhereAt < 5000;
   }
 
   /** A zone whose machines are all silent, or most of them and its controllers too, is cut off. */
@@ -1224,7 +1247,8 @@
     if (!want || (want.rank > j.spec.rank && !this.cx.plenty(cap.name))) return true;
     let cpus = j.spec.cpus;
     for (const p of r.machine.placements.values()) if (p.phase !== 'exited' && p.job.spec.gpus === 0) cpus += p.job.spec.cpus;
-    if (cpus <= cap.cpus - want.cpus + EPS) return true;
+    // Beside what keeps the machine here anyway, it costs nothing; alone it would keep it.
+    if (cpus <= cap.cpus - want.cpus + EPS && this.keptAnyway(r.machine)) return true;
     if (this.gangsWait.has(j.share)) return false;
     const due = this.dueOf(j, this.now) - this.now;
     return due < this.cx.table.bootMs(j) * 1.5 || due > 1e6;
@@ -1232,7 +1256,7 @@
 
   /** Bears more services than accelerator work leaves room for, or is in a share without such work. */
   private givenToServices(m: Machine): boolean {
-    if (!m.cap || m.cap.gpus === 0 || m.spot || this.cx.plenty(m.cap.name)) return false;
+    if (!m.cap || m.cap.gpus === 0 || m.spot) return false;
     if (!this.cx.table.gpuShares.has(m.share)) return true;
     return !this.leavesRoomForGang(m, NOTHING);
   }
@@ -1282,7 +1306,7 @@
       const move = this.servicesOn(m);
       // What was moved lately stays where it is: moving it on would keep it from running.
       if (move.some((p) => now - p.job.lastStop < 60_000)) continue;
-      if (move.length === 0 || move.length > (m.cap.gpus > 0 ? 12 : 4)) continue;
+      if (move.length === 0 || (m.cap.gpus === 0 && move.length > 4)) continue;
       const tried = rooms
         .filter((r) => r.machine !== m && r.machine.placements.size > 0 && this.wider(r.machine, m))
         .map((r) => ({ ...r }));
@@ -1303,27 +1327,43 @@
     return this.serviceUse(to).cpus > this.serviceUse(from).cpus;
   }
 
-  /** Clears a machine with accelerators of services when a gang here has no other place. */
+  /**
+   * Clears machines with accelerators of services when a gang here has no other place: as
+   * many as it lacks, or none.
+   */
   private clearForGangs(now: Ms): void {
     if (now - this.clearedAt < 5000) return;
-    for (const u of this.unmet) {
-      if (u.job.spec.gpus === 0 || u.job.spec.shape !== 'gang' || u.job.spec.tasks > 1) continue;
-      for (const m of this.clearable(u.job.share, now)) {
-        if (!allowed(u.job, m) || !this.usable(m, now) || !m.cap) continue;
-        const plain = this.serviceUse(m);
-        let busy = false;
-        for (const p of m.placements.values()) if (p.phase !== 'exited' && p.job.spec.gpus > 0) busy = true;
-        if (
-          busy ||
-          plain.cpus === 0 ||
-          fits(u.job.need, { cpus: m.cap.cpus - plain.cpus, gpus: m.cap.gpus, memory: m.cap.memory - plain.memory })
-        )
-          continue;
-        this.clearedAt = now;
+    for (const { job } of this.unmet) {
+      if (job.spec.gpus === 0 || job.spec.shape !== 'gang') continue;
+      const plain: Machine[] = [];
+      let room = 0;
+      const can = this.clearable(job.share, now);
+      for (const m of this.cx.table.machines.values()) {
+        if (m.share !== job.share || !m.cap || !allowed(job, m) || !this.usable(m, now)) continue;
+        const here = copies(job.need, this.roomOf(m));
+        room += here;
+        if (here > 0 || !can.has(m)) continue;
+        if ([...m.placements.values()].some((p) => p.phase !== 'exited' && p.job.spec.gpus > 0)) continue;
+        const use = this.serviceUse(m);
+        const without: Need = { cpus: m.cap.cpus - use.cpus, gpus: m.cap.gpus, memory: m.cap.memory - use.memory };
+        if (use.cpus > 0 && !fits(job.need, without)) plain.push(m);
+      }
+      if (plain.length === 0 || room >= job.spec.tasks) continue;
+      plain.sort((a, b) => this.serviceUse(a).cpus - this.serviceUse(b).cpus);
+      let gained = 0;
+      const chosen = plain.filter((m) => {
+        if (room + gained >= job.spec.tasks) return false;
+        gained += copies(job.need, m.cap as Need);
+        return true;
+      });
+      if (room + gained < job.spec.tasks) continue;
+      this.clearedAt = now;
+      for (const m of chosen) {
         this.cx.log('info', 'moving services off a machine with accelerators', { machine: m.name });
+        m.emptyUntil = now + 2 * this.cx.settings.policy.planWaitS * 1000;
         for (const p of this.servicesOn(m)) this.stop(p, 0);
-        return;
       }
+      return;
     }
   }
 
@@ -1345,10 +1385,11 @@
       for (const m of this.cx.table.machines.values()) {
         if (m.share !== share || !m.cap || m.spot || !this.usable(m, now) || now < m.emptyUntil) continue;
         const services = this.servicesOn(m);
-        if (m.cap.gpus === 0 || services.length > 0) rooms.push(this.roomOf(m));
+        const gpuWork = [...m.placements.values()].some((p) => p.phase !== 'exited' && p.job.spec.gpus > 0);
+        if (m.cap.gpus === 0 || services.length > 0 || gpuWork) rooms.push(this.roomOf(m));
         if (m.cap.gpus === 0 || services.length === 0 || (best && services.length >= best.services.length)) continue;
         if (services.some((p) => p.stop !== null || p.ranSince < 0 || now - p.ranSince < SETTLED_MS)) continue;
-        if ([...m.placements.values()].some((p) => p.job.spec.gpus > 0 || p.phase === 'planned')) continue;
+        if (gpuWork || [...m.placements.values()].some((p) => p.phase === 'planned')) continue;
         best = { m, services };
       }
       if (!best) continue;
@@ -1356,7 +1397,10 @@
       const use = this.serviceUse(m).cpus;
       if (use > (m.cap?.cpus ?? 0) / 2) continue;
       const free = rooms
-        .filter((r) => r.machine !== m && (r.machine.cap?.gpus === 0 || this.serviceUse(r.machine).cpus > use))
+        .filter(
+          (r) =>
+            r.machine !== m && (r.machine.cap?.gpus === 0 || this.keptAnyway(r.machine) || this.serviceUse(r.machine).cpus > use),
+        )
         .sort((a, b) => a.cpus - b.cpus);
       const all = services.every((p) => {
         const counts = zoneCounts(p.job);
@@ -1383,11 +1427,22 @@
     if (m.spot) return 1;
     const want = this.cx.table.gpuNeed.get(m.type);
     if (!want || !m.cap) return 5;
-    // What an accelerator task leaves over is free for others.
-    if (this.leavesRoomForGang(m, j.need)) return this.cx.plenty(m.cap.name) ? 0 : 6;
+    // What an accelerator task leaves over is free for others; where services stand in its
+    // way already, more of them cost nothing.
+    if (this.leavesRoomForGang(m, j.need)) {
+      if (!this.cx.plenty(m.cap.name)) return 6;
+      return this.keptAnyway(m) ? 0 : 20;
+    }
+    if (j.spec.shape === 'service' && this.givenToServices(m)) return 2;
     return j.spec.rank < want.rank ? 8 : 40;
   }
 
+  /** Bears work for accelerators, or is full of services. */
+  private keptAnyway(m: Machine): boolean {
+    for (const p of m.placements.values()) if (p.phase !== 'exited' && p.job.spec.gpus > 0) return true;
+    return !this.leavesRoomForGang(m, NOTHING);
+  }
+
   private planTasks(
     j: Job,
     within: boolean,
