--- a/packages/core/src/holdings.ts
+++ b/packages/core/src/holdings.ts
@@ -65,6 +65,7 @@
     if (!cx.replica.loaded || !cx.leaseValid(now) || cx.lease.permit === null) return;
     const me = cx.settings.node;
     if (!cx.reach()) this.releaseShares(now);
+    this.sign(now);
     const count = this.mine.size;
     for (const name of this.names()) {
       const cur = cx.table.holders.get(name);
@@ -87,6 +88,23 @@
     this.giveHome(now);
   }
 
+  /** Shows the others that our lease stands, whether or not we hold anything. */
+  private sign(now: Ms): void {
+    const key = KEY.presence(this.cx.settings.node);
+    const cur = this.cx.replica.get(key);
+    if (this.writing.has(key) || (cur && (cur.value as { boot: string }).boot === this.cx.boot)) return;
+    this.writing.add(key);
+    this.cx.writer.add({
+      key,
+      value: () => ({ boot: this.cx.boot }),
+      guard: cur?.stamp ?? 0,
+      leased: true,
+      urgency: 2,
+      until: now + 5000,
+      done: () => this.writing.delete(key),
+    });
+  }
+
   private claim(name: string, guard: number, now: Ms): void {
     const cx = this.cx;
     if (this.writing.has(name) || now - cx.freshAt > 3000) return;
--- a/packages/core/src/owner.ts
+++ b/packages/core/src/owner.ts
@@ -689,6 +689,8 @@
       if (m.giveBack && !m.returning && now >= m.returnAt) back.push(m);
       // Its reports come, but nothing reaches it: it would be thought well for ever, though
       // its lease runs out. Where many can't be reached at once, the fault isn't theirs.
+      if (m.giveBack === '' && this.cutZones.has(m.zone) && this.doomed(m, now))
+        this.giveUp(m, 'cut off for longer than its work lives');
       if (m.giveBack === '' && this.unreachable(m, now) && !manyLost(m.zone)) this.giveUp(m, 'can not be reached');
       if (m.dirty && !m.bumping && m.inflight === 0 && !m.giveBack) this.bump(m);
     }
@@ -720,6 +722,28 @@
     }
   }
 
+  /**
+   * In a zone that is cut off from the state service too, its controllers stop answering
+   * workers, and the work there ends by their leases. From then on such a machine only keeps
+   * its work from going on elsewhere; what it bears, or may bear, is worth its return.
+   */
+  private doomed(m: Machine, now: Ms): boolean {
+    const bears = m.suspect || [...m.placements.values()].some((p) => p.job.spec.shape !== 'array');
+    const { cancelS, leaseS, reportS } = this.cx.settings.workers;
+    if (!bears || now - m.heardAt < (leaseS + 2 * reportS) * 1000) return false;
+    const zone = this.cx.table.zoneNames.name(m.zone);
+    return this.cx.settings.nodes.every((n) => {
+      if (n.zone !== zone) return true;
+      const since = this.cx.table.absentSince.get(n.name);
+      return since !== undefined && now - since > (cancelS / 2) * 1000;
+    });
+  }
+
+  /** Is the zone seen to be cut off? */
+  cut(zone: string): boolean {
+    return this.cutZones.has(this.cx.table.zoneNames.find(zone));
+  }
+
   /** Three commands in a row without an answer, over longer than a machine's silence is borne. */
   private unreachable(m: Machine, now: Ms): boolean {
     return m.lostCount >= 3 && now - m.lostSince > this.cx.settings.policy.silentS * 1000;
--- a/packages/core/src/table.ts
+++ b/packages/core/src/table.ts
@@ -10,6 +10,8 @@
   job: (id: string) => `a/j/${id}`,
   progress: (id: string, chunk: number) => `a/p/${id}/${chunk}`,
   types: 'a/types',
+  /** a controller that is there: attached to its state lease */
+  presence: (node: string) => `a/n/${node}`,
   /** what a controller tells by way of the state service while its link to the lead is down */
   status: (node: string) => `a/s/${node}`,
   /** the images that a machine surely has, for whoever owns it next */
@@ -78,6 +80,8 @@
   readonly finals = new Map<string, 'done' | 'cancelled'>();
   readonly machines = new Map<string, Machine>();
   readonly holders = new Map<string, { holder: Holder; stamp: number }>();
+  /** controllers whose state lease was seen to end, and when */
+  readonly absentSince = new Map<string, Ms>();
   readonly typeNames = new Names();
   readonly zoneNames = new Names();
   readonly imageNames = new Names();
@@ -121,6 +125,10 @@
       else this.holders.delete(name);
       return { holding: name };
     }
+    if (kind === 'n/') {
+      if (entry) this.absentSince.delete(key.slice(4));
+      else this.absentSince.set(key.slice(4), now);
+    }
     if (kind === 'j/') return this.applyJob(key.slice(4), entry, now);
     if (kind === 'p/') return this.applyProgress(key.slice(4), entry);
     if (kind === 'g/') return this.applyGrant(key.slice(4), entry, now);
--- a/test/apart.test.ts
+++ b/test/apart.test.ts
@@ -64,6 +64,26 @@
   assert.equal(c.running('run-v'), 2);
 });
 
+test('in a zone cut off from the state service too, work ends by its leases and goes on elsewhere once its machines are given back', () => {
+  const c = cluster();
+  c.submit(job('run-z', { shape: 'service', tasks: 6, rank: 3, cls: 'serve' }));
+  c.until('running', () => c.running('run-z') === 6);
+  const west = (x: string) => x === 'n1' || c.workers.find((w) => w.name === x)?.zone === 'west';
+  assert.ok(c.on('run-z').some(west));
+  c.trace = [];
+  c.cut = (a, b) => west(a) !== west(b);
+  c.node('n1').refused = true;
+  c.run(30);
+  assert.equal(c.workers.filter((w) => w.dead).length, 0, 'a shorter cut costs no machine');
+  c.until('its leases are over', () => c.running('run-z') < 6, 20);
+  c.until('all run again', () => c.running('run-z') === 6, 40);
+  const lines = c.trace.map((l) => l.trim().split(' ').slice(1).join(' '));
+  for (const w of c.workers.filter((x) => x.dead)) {
+    assert.ok(west(w.name) && lines.indexOf(`${w.name} kills its tasks: lease over`) < lines.indexOf(`${w.name} is given back`));
+  }
+  kept(c, 'zone-cut-from-everything');
+});
+
 test('late copies of reports make no dead machine seem alive, at its owner, at a keeper or after a takeover', () => {
   const c = cluster();
   c.submit(job('run-d', { shape: 'service', rank: 3, cls: 'serve' }));
