--- a/packages/core/src/lead.ts
+++ b/packages/core/src/lead.ts
@@ -1,6 +1,6 @@
 import type { Listed, MachineType, PeerDemand, PeerMachine, PeerShare } from '@archpost/wire';
 import type { Context } from './context.js';
-import type { Machine, Ms, Need } from './model.js';
+import { type Machine, type Ms, type Need, SCARCE_AFTER_S } from './model.js';
 import type { Owner } from './owner.js';
 import { copies } from './placement.js';
 import { KEY } from './table.js';
@@ -318,8 +318,10 @@
             )
           )
             continue;
-          if (w.d.gpus === 0 && m.cap.gpus > 0 && !m.spot && !this.cx.plenty(m.cap.name) && table.gpuShares.has(s.share))
-            continue;
+          // Machines with accelerators that may not be had again stay for what needs them, unless
+          // the most urgent work has found nothing else for a while.
+          const scarce = m.cap.gpus > 0 && !m.spot && !this.cx.plenty(m.cap.name) && table.gpuShares.has(s.share);
+          if (w.d.gpus === 0 && scarce && (w.d.rank < 3 || w.d.waitS < SCARCE_AFTER_S || p.tasks > 0)) continue;
           // Ordinary machines stay for what can't use others.
           if (w.d.spot && !m.spot && w.d.gpus === 0 && idle(s) <= 3) continue;
           if (w.d.gpus === 0 && m.cap.gpus > 0 && w.d.rank < 2 && p.tasks > 0) continue;
--- a/packages/core/src/model.ts
+++ b/packages/core/src/model.ts
@@ -48,6 +48,9 @@
   policy: Policy;
 }
 
+/** Services wait this long for other room before they take a scarce machine with accelerators. */
+export const SCARCE_AFTER_S = 8;
+
 export type Level = 'debug' | 'info' | 'warn';
 
 /** What the core wants done. The edges carry it out and feed the outcome back in. */
--- a/packages/core/src/owner.ts
+++ b/packages/core/src/owner.ts
@@ -1,6 +1,6 @@
 import type { Command, PeerDemand, PeerHeard, PeerMachine, PeerShare, Report, TaskReport } from '@archpost/wire';
 import type { Context } from './context.js';
-import type { Job, Machine, Ms, Need, Placement } from './model.js';
+import { type Job, type Machine, type Ms, type Need, type Placement, SCARCE_AFTER_S } from './model.js';
 import { allowed, copies, domains, EPS, fits, placeGang, type Room, take, zoneAllows, zoneCounts } from './placement.js';
 import { type JobRecord, KEY, packBits } from './table.js';
 
@@ -1251,7 +1251,7 @@
         if (fits(j.need, this.roomOf(m))) return waitedMs > 30_000;
       }
     }
-    return waitedMs > 8000;
+    return waitedMs > SCARCE_AFTER_S * 1000;
   }
 
   private fetchesForGang(m: Machine): boolean {
