--- a/packages/core/src/owner.ts
+++ b/packages/core/src/owner.ts
@@ -278,7 +278,9 @@
       if (m.session > 0) {
         // Its lease ran out: it has killed and forgotten everything. Starts sent to the
         // old session can't be executed in the new one.
-        for (const p of [...m.placements.values()]) if (p.phase !== 'planned') this.free(p);
+        const lost = [...m.placements.values()].filter((p) => p.phase !== 'planned');
+        if (lost.length > 0) this.cx.log('info', 'lease of a machine ran out', { machine: m.name, tasks: lost.length });
+        for (const p of lost) this.free(p);
       }
       m.session = r.session;
     }
