--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -298,15 +298,15 @@
   }
 
   /**
-   * May workers' reports be answered here, so that their leases go on? While our own lease
-   * stands; and in an outage for as long as a cancellation that we can't have learned of
-   * would still be kept: what we last let go on ends by its worker's lease in time. No
-   * command of ours goes out meanwhile, and nobody counts a worker's lease as over.
+   * May workers' reports be answered here, so that their leases go on? For as long as a
+   * cancellation that we can't have learned of would still be kept: what we last let go on
+   * ends by its worker's lease in time. Without a lease no command of ours goes out
+   * meanwhile, and nobody counts a worker's lease as over.
    */
   private mayKeep(now: Ms): boolean {
     if (!this.replica.loaded) return false;
     const { cancelS, leaseS, reportS } = this.settings.workers;
-    return this.leaseValid(now) || now - this.freshAt < (cancelS - leaseS - reportS) * 1000;
+    return now - this.freshAt < (cancelS - leaseS - reportS) * 1000;
   }
 
   /** A late copy must not make a silent machine seem alive: only what is newer counts. */
--- a/packages/core/src/lead.ts
+++ b/packages/core/src/lead.ts
@@ -561,7 +561,7 @@
       if (now < this.market(o.type.name, o.zone, o.spot).notBefore) continue;
       const hourly = o.spot ? o.type.spotPrice : o.type.price;
       // Work that can wait doesn't take a dear machine: a cheap one may come free in time.
-      if (d.gpus === 0 && d.rank < 2 && hourly / o.type.cpus > 2.5 * cheapest && d.slackS > o.type.bootS + 25) continue;
+      if (d.gpus === 0 && d.rank < 2 && hourly / o.type.cpus > 3 * cheapest && d.slackS > o.type.bootS + 25) continue;
       const score = (hourly / Math.min(n, left)) * (1 + 0.001 * (inZone.get(o.zone) ?? 0));
       if (!best || score < best.score) best = { ...o, score };
     }
@@ -619,6 +619,16 @@
     return true;
   }
 
+  /**
+   * What costs little may stay idle for longer: it saves little, and to have it again takes
+   * its boot time, paid and waited for. The dearest kind goes back first.
+   */
+  private patience(cap: MachineType | null, spot: boolean): number {
+    if (!cap) return 1;
+    const dearest = Math.max(...this.options().map((o) => o.type.price));
+    return Math.min(8, Math.sqrt(dearest / Math.max(1e-6, spot ? cap.spotPrice : cap.price)));
+  }
+
   private giveBackIdle(shares: Map<number, PeerShare>, now: Ms): void {
     const demands = [...shares.values()].flatMap((s) => s.demands);
     let budget = 3;
@@ -626,8 +636,8 @@
       for (const p of s.machines) {
         const m = this.cx.table.machines.get(p.name);
         if (!m || budget <= 0 || p.tasks > 0 || m.moveTo >= 0 || m.retire || p.firmRank > 0) continue;
-        if (p.idleS < this.cx.settings.policy.idleS) continue;
         const cap = m.cap;
+        if (p.idleS < this.cx.settings.policy.idleS * this.patience(cap, m.spot)) continue;
         if (
           cap &&
           demands.some(
--- a/test/apart.test.ts
+++ b/test/apart.test.ts
@@ -236,3 +236,28 @@
   c.run(10);
   for (const n of c.nodes) assert.equal(n.core.ready, true);
 });
+
+test('a controller with its workers alone stops commanding with its lease, and refuses reports soon after', () => {
+  const c = cluster();
+  const n2 = c.node('n2');
+  const w = c.workers.find((x) => x.zone === 'east') as WorkerStandIn;
+  n2.refused = true;
+  c.cut = (a, b) => (a === 'n2' && b.startsWith('n')) || (b === 'n2' && a.startsWith('n'));
+  c.run(10);
+  assert.equal(late(n2, w.report()), 200, 'its workers are kept for a while');
+  c.run(9);
+  assert.equal(n2.core.owner.held.size, 0, 'no share is acted for without a lease');
+  // Time for a cancellation that it can't know of, less what a worker's own lease takes.
+  c.run(4);
+  assert.equal(late(n2, w.report()), 503);
+  c.cut = () => false;
+  n2.refused = false;
+  c.until('back', () => late(n2, w.report()) !== 503, 20);
+  const held = c.nodes.map((n) => n.core.owner.held.size);
+  c.run(30);
+  assert.equal(
+    c.nodes.reduce((n, x) => n + x.core.owner.held.size, 0),
+    3,
+    `shares held: ${held}`,
+  );
+});
