--- a/packages/core/src/owner.ts
+++ b/packages/core/src/owner.ts
@@ -1457,7 +1457,8 @@
     // way already, more of them cost nothing.
     if (this.leavesRoomForGang(m, j.need)) {
       if (!this.cx.plenty(m.cap.name)) return 6;
-      return this.keptAnyway(m) ? 0 : 20;
+      // Yet what stands there when the accelerator work ends keeps the machine from going back.
+      return this.keptAnyway(m) ? (j.spec.shape === 'service' ? 1.5 : 0) : 20;
     }
     if (j.spec.shape === 'service' && this.givenToServices(m)) return 2;
     return j.spec.rank < want.rank ? 8 : 40;
