--- a/packages/core/src/owner.ts
+++ b/packages/core/src/owner.ts
@@ -1277,7 +1277,9 @@
     if (cpus <= cap.cpus - want.cpus + EPS && this.keptAnyway(r.machine)) return true;
     if (this.gangsWait.has(j.share)) return false;
     const due = this.dueOf(j, this.now) - this.now;
-    return due < this.cx.table.bootMs(j) * 1.5 || due > 1e6;
+    // Half of the run on top: estimates are often wrong by as much.
+    const run = (j.ranS > 0 ? j.ranS : j.spec.estimateS) * 1000;
+    return due < this.cx.table.bootMs(j) * 1.5 + run / 2 || due > 1e6;
   }
 
   /** Bears more services than accelerator work leaves room for, or is in a share without such work. */
