--- /dev/null
+++ b/packages/core/src/commands.ts
@@ -0,0 +1,150 @@
+import type { Command, Report } from '@archpost/wire';
+import type { Context } from './context.js';
+import type { Job, Machine, Ms, Need, Placement } from './model.js';
+import { fits, take } from './placement.js';
+import type { Reports } from './reports.js';
+import { taskKey, type Work } from './work.js';
+
+/** Commands to workers: what is sent, and what its outcome means. */
+export class Commands {
+  private readonly sent = new Map<
+    number,
+    { machine: Machine; sent: Placement[]; probe: boolean; seen: { session: number; seq: number } }
+  >();
+
+  constructor(
+    private readonly cx: Context,
+    private readonly work: Work,
+    private readonly reports: Reports,
+  ) {}
+
+  flush(m: Machine, now: Ms): void {
+    if (m.inflight !== 0 || m.giveBack !== '' || m.addr === '' || now < m.retryAt || m.dirty || m.bumping) return;
+    if (!m.resolved) {
+      this.send(m, [], [], true, now);
+      return;
+    }
+    // Silent, not answering, or odd: ask, rather than wait for the next report.
+    if (now - m.heardAt > this.cx.settings.workers.reportS * 2000 || m.lostCount > 0 || m.ask) {
+      this.send(m, [], [], true, now);
+      return;
+    }
+    const cmds: Command[] = [];
+    const started: Placement[] = [];
+    const free: Need = m.cap ? { cpus: m.cap.cpus, gpus: m.cap.gpus, memory: m.cap.memory } : { cpus: 0, gpus: 0, memory: 0 };
+    for (const t of m.strays) {
+      if (t.state === 'exited') cmds.push({ op: 'forget', job: t.job, index: t.index, attempt: t.attempt });
+      else cmds.push({ op: 'stop', job: t.job, index: t.index, attempt: t.attempt, graceS: 0 });
+    }
+    for (const p of m.placements.values()) {
+      const id = { job: p.job.spec.id, index: p.index, attempt: p.attempt };
+      if (p.phase === 'exited') {
+        const kept = p.report?.why === 'done' && p.job.state === 'live' && !p.job.stored[p.index];
+        if (!kept) cmds.push({ op: 'forget', ...id });
+        continue;
+      }
+      if (p.phase === 'planned') continue;
+      if (p.stop !== null && now - p.stopSentAt > 4000) {
+        cmds.push({ op: 'stop', ...id, graceS: p.stop });
+        p.stopSentAt = now;
+        if (p.stopSince < 0) p.stopSince = now;
+      }
+      // What is told to go without saving is gone before the next command.
+      if (p.stop !== 0) take(free, p.job.need);
+    }
+    if (now - this.cx.freshAt < this.work.staleMs()) {
+      for (const p of m.placements.values()) {
+        if (p.phase !== 'planned' || cmds.length > 60) continue;
+        if (p.job.spec.shape === 'gang' ? !this.gangReady(p.job) : !fits(p.job.need, free)) continue;
+        take(free, p.job.need);
+        cmds.push({ op: 'start', job: p.job.spec.id, index: p.index, attempt: p.attempt });
+        started.push(p);
+      }
+    }
+    if (cmds.length > 0) this.send(m, cmds, started, false, now);
+  }
+
+  /** Starts go out once every member has room in the held plan. */
+  private gangReady(j: Job): boolean {
+    if (j.gangFailed || j.placements.size < j.spec.tasks) return false;
+    for (const p of j.placements.values()) {
+      if (p.phase !== 'planned') continue;
+      const m = p.machine;
+      if (!m.resolved || m.dirty || !m.cap) return false;
+      const free: Need = { cpus: m.cap.cpus, gpus: m.cap.gpus, memory: m.cap.memory };
+      for (const q of m.placements.values()) if (q.phase === 'sent' || q.phase === 'there') take(free, q.job.need);
+      for (const q of m.placements.values()) if (q.phase === 'planned' && q.job === j) take(free, j.need);
+      if (free.cpus < -1e-6 || free.gpus < -1e-6 || free.memory < -1e-6) return false;
+    }
+    return true;
+  }
+
+  private send(m: Machine, commands: Command[], sent: Placement[], probe: boolean, now: Ms): void {
+    const id = this.cx.nextId();
+    // Marked before anything leaves: from here on the tasks may be there.
+    for (const p of sent) p.phase = 'sent';
+    m.inflight = id;
+    m.ask = false;
+    m.inflightAt = now;
+    this.sent.set(id, { machine: m, sent, probe, seen: { session: m.session, seq: m.seq } });
+    this.cx.emit({
+      t: 'command',
+      id,
+      machine: m.name,
+      addr: m.addr,
+      token: this.cx.table.token(m),
+      session: m.session > 0 ? m.session : 1,
+      commands,
+    });
+  }
+
+  /** `lost`: the command may be executed yet; `refused`: it never left. */
+  result(id: number, r: { kind: 'ok' | 'stale'; report: Report | null } | { kind: 'lost' | 'refused' }, now: Ms): void {
+    const c = this.sent.get(id);
+    if (!c) return;
+    this.sent.delete(id);
+    const m = c.machine;
+    if (m.inflight !== id) return;
+    m.inflight = 0;
+    this.work.wantPlan = true;
+    if (!this.work.held.has(m.share)) return;
+    if (r.kind === 'ok' || r.kind === 'stale') {
+      m.lostCount = 0;
+      m.lostSince = -1;
+    } else {
+      m.lostCount++;
+      if (m.lostSince < 0) m.lostSince = now;
+    }
+    if (r.kind === 'ok') {
+      if (r.report) this.reports.observe(m, r.report, now, c.seen);
+      for (const p of c.sent) {
+        if (p.phase === 'sent' && p.machine === m && m.placements.get(taskKey(p.job.spec.id, p.index, p.attempt)) === p)
+          this.work.free(p);
+      }
+      if (c.probe && !m.resolved) {
+        m.resolved = true;
+        m.suspect = false;
+        // Under the new token nothing older can start any more: what the report lacks isn't there.
+        for (const p of [...m.placements.values()]) if (p.phase === 'sent') this.work.free(p);
+      }
+      return;
+    }
+    if (r.kind === 'stale') {
+      for (const p of c.sent) if (p.phase === 'sent') p.phase = 'planned';
+      if (r.report) {
+        this.reports.observe(m, r.report, now, c.seen);
+        if (r.report.token > this.cx.table.token(m)) m.retryAt = now + 1000;
+      }
+      return;
+    }
+    m.retryAt = now + 700;
+    if (r.kind === 'refused') {
+      for (const p of c.sent) if (p.phase === 'sent') p.phase = 'planned';
+      for (const p of m.placements.values()) p.stopSentAt = -1e12;
+      return;
+    }
+    for (const p of m.placements.values()) p.stopSentAt = -1e12;
+    // An empty probe that is executed late does nothing.
+    if (!c.probe) m.dirty = true;
+  }
+}
--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -129,7 +129,7 @@
   }
 
   reach(): boolean {
-    return this.owner.reach;
+    return this.owner.fleet.reach;
   }
 
   planSoon(): void {
@@ -282,8 +282,8 @@
       return;
     }
     const stops: Command[] = [];
-    if (this.owner.mayAct(m.share, now)) {
-      this.owner.observe(m, r, now);
+    if (this.owner.work.mayAct(m.share, now)) {
+      this.owner.reports.observe(m, r, now);
     } else {
       // A keeper: the work must not die because its owner did, or can't be reached from here.
       this.hear(r, holder, now);
@@ -365,23 +365,23 @@
   relayed(r: Report, now: Ms): void {
     this.now = now;
     const m = this.table.machines.get(r.machine);
-    if (!m || this.table.holder(m.share)?.holder.node !== this.settings.node || !this.owner.mayAct(m.share, now)) return;
-    this.owner.observe(m, r, now);
+    if (!m || this.table.holder(m.share)?.holder.node !== this.settings.node || !this.owner.work.mayAct(m.share, now)) return;
+    this.owner.reports.observe(m, r, now);
     // Workers of our own zone report here, unless this controller or the machine is apart.
-    if (r.zone === this.settings.zone) this.owner.doubt(m, now);
+    if (r.zone === this.settings.zone) this.owner.reports.doubt(m, now);
     this.after(now);
   }
 
-  commandResult(id: number, r: Parameters<Owner['commandResult']>[1], now: Ms): void {
+  commandResult(id: number, r: Parameters<Owner['commands']['result']>[1], now: Ms): void {
     this.now = now;
-    this.owner.commandResult(id, r, now);
+    this.owner.commands.result(id, r, now);
     this.after(now);
   }
 
   /** Whether a worker answered the question that `ask` put. */
   asked(id: number, ok: boolean, now: Ms): void {
     this.now = now;
-    this.owner.asked(id, ok);
+    this.owner.fleet.asked(id, ok);
   }
 
   // ---- cloud
@@ -410,7 +410,7 @@
 
   returned(id: number, ok: boolean, now: Ms): void {
     this.now = now;
-    if (!this.lead.returned(id, ok, now)) this.owner.returned(id, ok, now);
+    if (!this.lead.returned(id, ok, now)) this.owner.fleet.returned(id, ok, now);
     this.after(now);
   }
 
@@ -419,7 +419,7 @@
   peerStatus(status: PeerStatus, now: Ms): void {
     this.now = now;
     this.peers.set(status.node, { status, at: now, up: true });
-    for (const h of status.heard) this.owner.unchanged(h, now);
+    for (const h of status.heard) this.owner.reports.unchanged(h, now);
     this.after(now);
   }
 
@@ -527,7 +527,7 @@
       plenty: this.lead.leading ? this.lead.plenty() : [],
       lead: this.lead.leading,
       entitled: this.mayKeep(now),
-      reach: this.owner.reach,
+      reach: this.owner.fleet.reach,
       writes: Math.round(this.writer.wanted(now)),
       storeOk: now - this.storeAt < STORE_SILENT_MS,
     };
--- /dev/null
+++ b/packages/core/src/fleet.ts
@@ -0,0 +1,295 @@
+import type { Context } from './context.js';
+import type { Machine, Ms } from './model.js';
+import { KEY } from './table.js';
+import type { Work } from './work.js';
+
+/** What is seen of a zone's machines that are ours. */
+interface ZoneView {
+  all: number;
+  /** heard lately */
+  heard: number;
+  /** do not answer commands */
+  lost: number;
+}
+
+/** The machines of our shares: which are silent, cut off or out of reach, which move and which go back. */
+export class Fleet {
+  private readonly returns = new Map<number, Machine[]>();
+  private nextReturnAt: Ms = 0;
+  private readonly cutZones = new Set<number>();
+  /** Can workers be reached from here? */
+  reach = true;
+  private lostReachAt: Ms = -1;
+  private answered = 0;
+  private askAt: Ms = 0;
+  private readonly asking = new Set<number>();
+
+  constructor(
+    private readonly cx: Context,
+    private readonly work: Work,
+  ) {}
+
+  watchMachines(now: Ms): void {
+    const silentMs = this.cx.settings.policy.silentS * 1000;
+    const zones = new Map<number, ZoneView>();
+    for (const m of this.cx.table.machines.values()) {
+      if (!this.work.held.has(m.share)) continue;
+      const z = zones.get(m.zone) ?? { all: 0, heard: 0, lost: 0 };
+      z.all++;
+      if (m.lostCount >= 2) z.lost++;
+      if (now - m.heardAt < 4000) z.heard++;
+      zones.set(m.zone, z);
+    }
+    this.judgeZones(zones, now);
+    this.judgeReach(zones, now);
+    const manyLost = (zone: number) => {
+      const z = zones.get(zone);
+      return !this.reach || this.cutZones.has(zone) || (z !== undefined && z.lost > 1 && z.lost * 4 > z.all);
+    };
+    const back: Machine[] = [];
+    for (const m of this.cx.table.machines.values()) {
+      if (!this.work.held.has(m.share)) continue;
+      const silent = now - m.heardAt;
+      // Once its notice is over a silent machine is most likely taken.
+      const taken = m.noticeUntil > 0 && now > m.noticeUntil && silent > this.cx.settings.workers.reportS * 1500;
+      if ((silent > silentMs || taken) && !m.giveBack && !this.heardElsewhere(m, now)) {
+        const cut = this.cutZones.has(m.zone);
+        // Cancelled work must be gone in time, whatever the reason for the silence.
+        const cancelled = [...m.placements.values()].some((p) => p.job.state === 'cancelled');
+        const limit = this.cx.settings.workers.cancelS * 1000 * 0.5;
+        if ((!cut && this.reach) || (cancelled && silent > limit)) this.giveUp(m, cut ? 'silent with cancelled work' : 'silent');
+      }
+      if (m.giveBack === '' && this.work.empty(m) && m.resolved && !m.dirty) {
+        if (m.retire) this.giveUp(m, 'not needed');
+        else if (this.work.faulty(m)) this.giveUp(m, 'faulty');
+        else if (m.noticeUntil > 0) this.giveUp(m, 'spot notice');
+        else if (m.moveTo >= 0) this.handOver(m);
+      }
+      if ((m.moveTo >= 0 || m.retire) && m.giveBack === '') this.work.vacate(m);
+      if (m.giveBack && !m.returning && now >= m.returnAt) back.push(m);
+      // Its reports come, but nothing reaches it: it would be thought well for ever, though
+      // its lease runs out. Where many can't be reached at once, the fault isn't theirs.
+      if (m.giveBack === '' && this.cutZones.has(m.zone) && this.doomed(m, now))
+        this.giveUp(m, 'cut off for longer than its work lives');
+      if (m.giveBack === '' && this.unreachable(m, now) && !manyLost(m.zone)) this.giveUp(m, 'can not be reached');
+      if (m.dirty && !m.bumping && m.inflight === 0 && !m.giveBack) this.bump(m);
+    }
+    if (back.length > 0 && now >= this.nextReturnAt) {
+      const id = this.cx.nextId();
+      const some = back.slice(0, 50);
+      for (const m of some) m.returning = true;
+      this.returns.set(id, some);
+      this.nextReturnAt = now + 300;
+      this.cx.emit({ t: 'return', id, machines: some.map((m) => m.name) });
+    }
+  }
+
+  /**
+   * When a cut ends, workers need a moment to find their way back from the keeper that
+   * answered them meanwhile: until then their silence says nothing.
+   */
+  private judgeZones(zones: Map<number, ZoneView>, now: Ms): void {
+    for (const [zone, z] of zones) {
+      if (this.zoneCut(zone, z, now)) this.cutZones.add(zone);
+      else if (this.cutZones.delete(zone)) {
+        for (const m of this.cx.table.machines.values()) {
+          if (m.zone !== zone || !this.work.held.has(m.share)) continue;
+          m.heardAt = now;
+          m.lostCount = Math.min(m.lostCount, 1);
+          m.lostSince = m.lostCount > 0 ? now : -1;
+        }
+      }
+    }
+  }
+
+  /**
+   * In a zone that is cut off from the state service too, its controllers stop answering
+   * workers, and the work there ends by their leases. From then on such a machine only keeps
+   * its work from going on elsewhere; what it bears, or may bear, is worth its return.
+   */
+  private doomed(m: Machine, now: Ms): boolean {
+    const bears = m.suspect || [...m.placements.values()].some((p) => p.job.spec.shape !== 'array');
+    const { cancelS, leaseS, reportS } = this.cx.settings.workers;
+    if (!bears || now - m.heardAt < (leaseS + 2 * reportS) * 1000) return false;
+    const zone = this.cx.table.zoneNames.name(m.zone);
+    return this.cx.settings.nodes.every((n) => {
+      if (n.zone !== zone) return true;
+      const since = this.cx.table.absentSince.get(n.name);
+      return since !== undefined && now - since > (cancelS / 2) * 1000;
+    });
+  }
+
+  /** Is the zone seen to be cut off? */
+  cut(zone: string): boolean {
+    return this.cutZones.has(this.cx.table.zoneNames.find(zone));
+  }
+
+  /** Three commands in a row without an answer, over longer than a machine's silence is borne. */
+  private unreachable(m: Machine, now: Ms): boolean {
+    return m.lostCount >= 3 && now - m.lostSince > this.cx.settings.policy.silentS * 1000;
+  }
+
+  /**
+   * Workers that can't be reached from here, not even those of our own zone: the fault is
+   * ours, and another controller can do better. What is asked for here finds out when
+   * it is over.
+   */
+  private judgeReach(zones: Map<number, ZoneView>, now: Ms): void {
+    if (!this.reach) return;
+    const own = zones.get(this.cx.table.zoneNames.find(this.cx.settings.zone));
+    const all = { all: 0, heard: 0, lost: 0 };
+    for (const z of zones.values()) {
+      all.all += z.all;
+      all.lost += z.lost;
+    }
+    const z = own && own.all >= 3 ? own : all;
+    if (z.all < 3 || z.lost * 4 < z.all * 3) {
+      this.lostReachAt = -1;
+      return;
+    }
+    if (this.lostReachAt < 0) this.lostReachAt = now;
+    if (now - this.lostReachAt < 2000) return;
+    this.reach = false;
+    this.answered = 0;
+    this.askAt = now;
+    this.cx.log('warn', 'workers can not be reached from here', { lost: z.lost, of: z.all });
+  }
+
+  /** Without shares no command tells whether workers can be reached again: a few are asked. */
+  seekReach(now: Ms): void {
+    if (this.reach || now < this.askAt || this.asking.size > 0) return;
+    this.askAt = now + 1500;
+    const zone = this.cx.table.zoneNames.find(this.cx.settings.zone);
+    const all = [...this.cx.table.machines.values()].filter((m) => m.addr !== '');
+    const near = all.filter((m) => m.zone === zone);
+    const list = near.length >= 3 ? near : all;
+    if (list.length === 0) this.reach = true;
+    for (let i = 0; i < Math.min(4, list.length); i++) {
+      const m = list[Math.floor((i * list.length) / 4 + this.answered) % list.length] as Machine;
+      const id = this.cx.nextId();
+      this.asking.add(id);
+      this.cx.emit({ t: 'ask', id, addr: m.addr });
+    }
+  }
+
+  asked(id: number, ok: boolean): void {
+    if (!this.asking.delete(id)) return;
+    this.answered = ok ? this.answered + 1 : 0;
+    // Two rounds answered whole: a share that comes home must not leave again at once.
+    if (this.answered < 6 || this.reach) return;
+    this.reach = true;
+    this.lostReachAt = -1;
+    for (const m of this.cx.table.machines.values()) m.lostCount = 0;
+    this.cx.log('info', 'workers can be reached again');
+  }
+
+  private heardElsewhere(m: Machine, now: Ms): boolean {
+    return now - m.elsewhereAt < 5000;
+  }
+
+  /** A zone whose machines are all silent, or most of them and its controllers too, is cut off. */
+  private zoneCut(zone: number, z: ZoneView, now: Ms): boolean {
+    const name = this.cx.table.zoneNames.name(zone);
+    const { settings } = this.cx;
+    if (name === settings.zone) return z.all >= 3 && z.heard === 0;
+    const there = settings.nodes.filter((n) => n.zone === name && n.name !== settings.node);
+    if (there.length > 0) return there.every((n) => !this.cx.peerAlive(n.name, now)) && z.heard * 2 <= z.all;
+    return z.all >= 2 && z.heard === 0;
+  }
+
+  private giveUp(m: Machine, why: string): void {
+    m.giveBack = why;
+    m.returnAt = 0;
+    this.cx.log('info', 'giving machine back', { machine: m.name, why, tasks: m.placements.size });
+  }
+
+  private handOver(m: Machine): void {
+    if (m.grantQueued) return;
+    m.grantQueued = true;
+    const to = m.moveTo;
+    this.cx.writer.add({
+      key: KEY.grant(m.name),
+      value: () => ({ ...this.cx.table.grantOf(m), s: to }),
+      guard: m.grantStamp,
+      also: this.work.also(m.share),
+      urgency: 1,
+      done: (o) => {
+        m.grantQueued = false;
+        if (o === 'ok') this.cx.log('debug', 'machine handed over', { machine: m.name, to });
+      },
+    });
+  }
+
+  /**
+   * Guards against a command that we gave up on and that is executed late: the worker
+   * takes nothing older once it has seen the higher token.
+   */
+  private bump(m: Machine): void {
+    if (m.grantQueued) return;
+    m.bumping = true;
+    m.grantQueued = true;
+    const n = m.grantStamp;
+    this.cx.writer.add({
+      key: KEY.grant(m.name),
+      value: () => {
+        const g = this.cx.table.grantOf(m);
+        if (m.moveTo >= 0) g.mv = m.moveTo;
+        if (m.retire) g.x = true;
+        g.n = n;
+        return g;
+      },
+      guard: m.grantStamp,
+      also: this.work.also(m.share),
+      urgency: 2,
+      done: (o) => {
+        m.grantQueued = false;
+        m.bumping = false;
+        if (o === 'ok') {
+          m.dirty = false;
+          m.resolved = false;
+        }
+      },
+    });
+  }
+
+  returned(id: number, ok: boolean, now: Ms): void {
+    const list = this.returns.get(id);
+    if (!list) return;
+    this.returns.delete(id);
+    for (const m of list) {
+      m.returning = false;
+      m.returnAt = now + 1500;
+      if (!ok || !this.work.held.has(m.share)) continue;
+      // 200: the machine and everything on it are gone.
+      m.returning = true;
+      m.resolved = true;
+      m.suspect = false;
+      for (const p of [...m.placements.values()]) this.work.free(p);
+      this.dropGrant(m);
+    }
+  }
+
+  private dropGrant(m: Machine): void {
+    const cache = KEY.cache(m.name);
+    const kept = this.cx.replica.get(cache);
+    if (kept)
+      this.cx.writer.add({
+        key: cache,
+        value: () => undefined,
+        guard: kept.stamp,
+        urgency: 4,
+        until: this.work.now + 15_000,
+        done: () => {},
+      });
+    this.cx.writer.add({
+      key: KEY.grant(m.name),
+      value: () => undefined,
+      guard: m.grantStamp,
+      also: this.work.also(m.share),
+      urgency: 2,
+      done: (o) => {
+        if (o !== 'ok' && this.cx.table.machines.get(m.name) === m && this.work.held.has(m.share)) this.dropGrant(m);
+      },
+    });
+  }
+}
--- a/packages/core/src/lead.ts
+++ b/packages/core/src/lead.ts
@@ -557,7 +557,7 @@
       const n = copies(d, o.type);
       if (n < 1 || !this.suits(d, o.type.name, o.zone, o.spot)) continue;
       // What boots in a zone that is cut off is of no use until the cut is over.
-      if (this.owner.cut(o.zone)) continue;
+      if (this.owner.fleet.cut(o.zone)) continue;
       if (now < this.market(o.type.name, o.zone, o.spot).notBefore) continue;
       const hourly = o.spot ? o.type.spotPrice : o.type.price;
       // Work that can wait doesn't take a dear machine: a cheap one may come free in time.
--- /dev/null
+++ b/packages/core/src/reports.ts
@@ -0,0 +1,210 @@
+import type { PeerHeard, Report, TaskReport } from '@archpost/wire';
+import type { Context } from './context.js';
+import type { Machine, Ms, Placement } from './model.js';
+import type { Records } from './records.js';
+import { type JobRecord, KEY } from './table.js';
+import { taskKey, type Work } from './work.js';
+
+/** What workers say, taken for what it is worth. */
+export class Reports {
+  constructor(
+    private readonly cx: Context,
+    private readonly work: Work,
+    private readonly records: Records,
+  ) {}
+
+  /**
+   * Takes a worker's report. Copies can come late, so only one newer by (session, seq)
+   * counts, and right after a takeover, when nothing is known of what came before, none at
+   * all: then only the answer to our own question (`asked`: what was known when it was
+   * sent) does. A start under way isn't refuted by a report: it may have been made before it.
+   */
+  observe(m: Machine, r: Report, now: Ms, asked: { session: number; seq: number } | null = null): void {
+    this.work.now = now;
+    const older = (a: { session: number; seq: number }) => r.session < a.session || (r.session === a.session && r.seq <= a.seq);
+    if (asked !== null && older(asked)) {
+      // An answer is newer than what was known when it was asked for, unless the machine has
+      // begun again: then nothing that was there is there any more.
+      this.cx.log('info', 'machine began again', { machine: m.name });
+      for (const p of [...m.placements.values()]) if (p.phase !== 'planned') this.work.free(p);
+      m.session = 0;
+      m.seq = -1;
+    } else if (asked === null && !m.resolved) {
+      // Which session to ask is all that can be learned from it.
+      if (r.session > m.session) m.session = r.session;
+      return;
+    } else if (older(m)) {
+      // A late copy, or a machine that began again: its answer will tell.
+      if (asked === null) this.doubt(m, now);
+      return;
+    }
+    // It has said something that didn't come here: perhaps our answers don't reach it.
+    if (asked === null && r.session === m.session && r.seq > m.seq + 1) this.doubt(m, now);
+    if (r.addr) m.addr = r.addr;
+    m.heardAt = now;
+    if (m.giveBack === 'silent' && !m.returning) m.giveBack = '';
+    if (r.session > m.session) {
+      if (m.session > 0) {
+        // Its lease ran out: it has killed and forgotten everything. Starts sent to the
+        // old session can't be executed in the new one.
+        const lost = [...m.placements.values()].filter((p) => p.phase !== 'planned');
+        if (lost.length > 0) this.cx.log('info', 'lease of a machine ran out', { machine: m.name, tasks: lost.length });
+        for (const p of lost) this.work.free(p);
+      }
+      m.session = r.session;
+    }
+    m.seq = r.seq;
+    if (r.noticeS !== null && m.noticeUntil < 0) {
+      m.noticeUntil = now + r.noticeS * 1000;
+      this.cx.log('info', 'spot notice', { machine: m.name, seconds: r.noticeS });
+      this.work.vacate(m);
+    }
+    const seen = new Set<string>();
+    m.strays = [];
+    for (const t of r.tasks) {
+      const key = taskKey(t.job, t.index, t.attempt);
+      seen.add(key);
+      const p = m.placements.get(key) ?? this.adopt(m, t, now);
+      if (!p) {
+        m.strays.push(t);
+        continue;
+      }
+      this.taskSeen(p, t, now);
+    }
+    for (const [key, p] of [...m.placements]) {
+      if (!seen.has(key) && (p.phase === 'there' || p.phase === 'exited')) this.work.free(p);
+    }
+  }
+
+  /** A keeper says that a machine's reports go on as they were. */
+  unchanged(h: PeerHeard, now: Ms): void {
+    const m = this.cx.table.machines.get(h.machine);
+    if (!m || !this.work.mayAct(m.share, now)) return;
+    m.elsewhereAt = now;
+    if (!m.resolved || h.session !== m.session || h.seq <= m.seq) return;
+    if (m.seq < h.whole) {
+      // The report that it refers to did not come here.
+      this.doubt(m, now);
+      return;
+    }
+    m.seq = h.seq;
+    m.heardAt = now;
+    if (m.giveBack === 'silent' && !m.returning) m.giveBack = '';
+  }
+
+  /** Asks the machine how it stands, now and then. */
+  doubt(m: Machine, now: Ms): void {
+    if (now - m.askedAt < this.cx.settings.workers.reportS * 2000) return;
+    m.askedAt = now;
+    m.ask = true;
+  }
+
+  /** A task found on a machine that we have no record of: an earlier holder's work. */
+  private adopt(m: Machine, t: TaskReport, now: Ms): Placement | null {
+    let job = this.cx.table.jobs.get(t.job);
+    if (!job) {
+      const record = this.cx.replica.get(KEY.job(t.job))?.value as JobRecord | undefined;
+      if (!record?.sp) return null;
+      job = this.cx.table.makeJob(record.sp);
+      job.state = record.s === 2 ? 'cancelled' : record.s === 1 ? 'done' : 'live';
+      job.stamp = this.cx.replica.get(KEY.job(t.job))?.stamp ?? 0;
+      this.cx.table.jobs.set(t.job, job);
+    }
+    if (job.share !== m.share || t.index >= job.spec.tasks) return null;
+    if (job.placements.has(t.index)) {
+      const other = job.placements.get(t.index) as Placement;
+      if (other.phase === 'planned') this.work.free(other);
+      else return null;
+    }
+    const p = this.work.place(job, t.index, t.attempt, m, 'there', now);
+    if (job.spec.shape === 'gang') {
+      if (job.gangAttempt === 0) job.gangAttempt = t.attempt;
+      if (job.gangAttempt !== t.attempt) this.work.failGang(job);
+      if (job.gangFailed) this.work.stop(p, 0);
+    }
+    if (job.state === 'cancelled') this.work.stop(p, 0);
+    return p;
+  }
+
+  private taskSeen(p: Placement, t: TaskReport, now: Ms): void {
+    const was = p.report?.state;
+    p.report = t;
+    const m = p.machine;
+    const j = p.job;
+    if (t.state !== 'exited') {
+      p.phase = 'there';
+      if (t.state === 'running' && was !== 'running') {
+        p.ranSince = now;
+        const sec = (a: Ms, b: Ms) => Math.round((b - a) / 100) / 10;
+        this.cx.log('debug', 'task runs', {
+          task: `${j.spec.id}/${p.index}`,
+          cls: j.spec.cls,
+          machine: m.name,
+          type: m.cap?.name,
+          sinceSubmit: sec(j.arrivedAt, now),
+          sincePlan: sec(p.plannedAt, now),
+          gb: j.spec.imageGb,
+          cached: m.images.has(j.image),
+        });
+        const fresh = !m.images.has(j.image);
+        m.images.delete(j.image);
+        m.images.set(j.image, j.spec.imageGb);
+        this.trimImages(m);
+        if (fresh) this.records.storeImages(m);
+      }
+      return;
+    }
+    if (p.phase === 'exited') return;
+    p.phase = 'exited';
+    this.work.wantPlan = true;
+    if (t.why === 'done') {
+      if (p.ranSince >= 0) j.ranS = Math.max(j.ranS, (now - p.ranSince) / 1000);
+      // What began before the last failure proves nothing about the machine since.
+      if (p.ranSince > m.lastErrorAt) {
+        m.errorJobs.clear();
+        m.errorTasks = 0;
+      }
+      this.records.markDone(j, p.index);
+      return;
+    }
+    if (t.why === 'error') this.taskFailed(p, now);
+    if (t.why === 'unknown') j.notBefore = now + 1000;
+    if (t.why === 'no_room') m.retryAt = Math.max(m.retryAt, now + 500);
+    if (t.why !== 'stopped') {
+      this.cx.log('debug', 'task ended', { task: `${j.spec.id}/${p.index}`, machine: m.name, why: t.why });
+    }
+    if (j.spec.shape === 'gang' && j.state === 'live' && j.doneCount < j.spec.tasks) this.work.failGang(j);
+  }
+
+  /** What the machine surely keeps: the most recently used images that fit its cache. */
+  private trimImages(m: Machine): void {
+    let sum = 0;
+    for (const gb of m.images.values()) sum += gb;
+    for (const [i, gb] of m.images) {
+      if (sum <= (m.cap?.cacheGb ?? 0)) break;
+      m.images.delete(i);
+      sum -= gb;
+    }
+  }
+
+  /** Faulty machines fail many jobs; bad jobs fail on many machines. */
+  private taskFailed(p: Placement, now: Ms): void {
+    const { job: j, machine: m } = p;
+    j.errors.add(m.name);
+    const badJob = j.errors.size >= 3 && j.doneCount === 0;
+    if (badJob) {
+      j.notBefore = now + Math.min(60_000, 2000 * 2 ** Math.min(6, j.errors.size - 3));
+    } else {
+      m.errorJobs.add(j.spec.id);
+      m.lastErrorAt = now;
+      if (j.doneCount > 0 && j.errors.size === 1) m.errorTasks++;
+      if (j.spec.shape === 'gang') j.notBefore = now + 300;
+    }
+    this.cx.log('info', 'task failed', {
+      task: `${j.spec.id}/${p.index}`,
+      machine: m.name,
+      jobMachines: j.errors.size,
+      machineJobs: m.errorJobs.size,
+    });
+  }
+}
--- /dev/null
+++ b/packages/core/src/work.ts
@@ -0,0 +1,175 @@
+import type { Context } from './context.js';
+import type { Job, Machine, Ms, Placement } from './model.js';
+import { type Room, take } from './placement.js';
+import { KEY } from './table.js';
+
+/** A share that this controller holds. */
+interface Held {
+  share: number;
+  stamp: number;
+  since: Ms;
+}
+
+/** Attempts carry the holding's stamp, so no two holders ever use the same one. */
+const ATTEMPTS_PER_HOLDING = 1_000_000;
+
+export const taskKey = (job: string, index: number, attempt: number) => `${job}/${index}/${attempt}`;
+
+/** What is known of the tasks and machines of the shares held here, and the steps that change it. */
+export class Work {
+  readonly held = new Map<number, Held>();
+  private attempts = 1;
+  wantPlan = true;
+  now: Ms = 0;
+  /** what is left without room after the last plan */
+  unmet: { job: Job; count: number; within: boolean }[] = [];
+
+  constructor(private readonly cx: Context) {}
+
+  mayAct(share: number, now: Ms): boolean {
+    return this.held.has(share) && this.cx.leaseValid(now);
+  }
+
+  attempt(share: number): number {
+    return (this.held.get(share)?.stamp ?? 0) * ATTEMPTS_PER_HOLDING + this.attempts++;
+  }
+
+  place(job: Job, index: number, attempt: number, m: Machine, phase: Placement['phase'], now: Ms): Placement {
+    const p: Placement = {
+      job,
+      index,
+      attempt,
+      machine: m,
+      phase,
+      report: null,
+      plannedAt: now,
+      stop: null,
+      stopSentAt: -1e12,
+      stopSince: -1,
+      ranSince: -1,
+    };
+    job.placements.set(index, p);
+    m.placements.set(taskKey(job.spec.id, index, attempt), p);
+    return p;
+  }
+
+  /** The task is surely no longer on the machine. */
+  free(p: Placement): void {
+    p.machine.placements.delete(taskKey(p.job.spec.id, p.index, p.attempt));
+    if (p.job.placements.get(p.index) === p) {
+      p.job.placements.delete(p.index);
+      if (!p.job.done[p.index]) p.job.returned.push(p.index);
+    }
+    if (p.machine.placements.size === 0) p.machine.idleSince = this.now;
+    const j = p.job;
+    if (j.spec.shape === 'gang' && j.gangAttempt !== 0) {
+      if (j.state === 'live' && j.doneCount < j.spec.tasks) this.failGang(j);
+      if (j.placements.size === 0) {
+        j.gangAttempt = 0;
+        j.gangFailed = false;
+      }
+    }
+    this.cx.table.dropFinal(j);
+    this.wantPlan = true;
+  }
+
+  /** A gang that lost a task is stopped whole and queued again. */
+  failGang(j: Job): void {
+    if (j.gangFailed) return;
+    j.gangFailed = true;
+    for (const p of [...j.placements.values()]) if (p.phase !== 'exited') this.stop(p, 0);
+  }
+
+  stop(p: Placement, graceS: number): void {
+    if (p.phase === 'planned') {
+      this.free(p);
+      return;
+    }
+    if (p.phase === 'exited') return;
+    if (p.stop === null || graceS < p.stop) {
+      p.stop = graceS;
+      p.stopSentAt = -1e12;
+      p.job.lastStop = this.now;
+    }
+  }
+
+  /** A checkpointing task gets time to save; others lose nothing by going at once. */
+  graceOf(j: Job): number {
+    return j.spec.checkpointS > 0 ? j.spec.saveS + this.cx.settings.workers.gangPeerS : 0;
+  }
+
+  stopJob(j: Job): void {
+    for (const p of [...j.placements.values()]) this.stop(p, this.graceOf(j));
+  }
+
+  faulty(m: Machine): boolean {
+    return m.errorJobs.size >= 2 || m.errorTasks >= 3;
+  }
+
+  usable(m: Machine, now: Ms): boolean {
+    return (
+      m.resolved &&
+      !m.dirty &&
+      m.cap !== null &&
+      m.moveTo < 0 &&
+      !m.retire &&
+      m.giveBack === '' &&
+      m.noticeUntil < 0 &&
+      !this.faulty(m) &&
+      m.lostCount === 0 &&
+      now - m.heardAt < this.cx.settings.workers.reportS * 2500
+    );
+  }
+
+  roomOf(m: Machine): Room {
+    const r: Room = { machine: m, cpus: m.cap?.cpus ?? 0, gpus: m.cap?.gpus ?? 0, memory: m.cap?.memory ?? 0 };
+    for (const p of m.placements.values()) if (p.phase !== 'exited') take(r, p.job.need);
+    return r;
+  }
+
+  /** Where could a task of this job be, of those that nobody has reported? */
+  unproven(j: Job): boolean {
+    const held = this.held.get(j.share);
+    if (!held || j.stamp > held.stamp) return false;
+    for (const m of this.cx.table.machines.values()) if (m.share === j.share && m.suspect) return true;
+    return false;
+  }
+
+  /** No starts for jobs whose state wasn't confirmed lately: a user may have cancelled them. */
+  staleMs(): number {
+    return this.cx.settings.workers.cancelS * 1000 * 0.25;
+  }
+
+  also(share: number) {
+    return [{ key: KEY.holding(share), stamp: this.held.get(share)?.stamp ?? -1 }];
+  }
+
+  empty(m: Machine): boolean {
+    return m.placements.size === 0 && m.strays.length === 0 && m.inflight === 0;
+  }
+
+  vacate(m: Machine): void {
+    for (const p of [...m.placements.values()]) {
+      if (p.phase === 'exited' || p.stop !== null) continue;
+      // Independent tasks may finish in the time of a notice; what has to move, moves now.
+      if (m.noticeUntil > 0 && p.job.spec.shape === 'array' && p.phase !== 'planned') continue;
+      if (p.job.spec.shape === 'gang') this.stopJob(p.job);
+      else this.stop(p, this.graceOf(p.job));
+    }
+  }
+
+  servicesOn(m: Machine): Placement[] {
+    return [...m.placements.values()].filter((p) => p.phase !== 'exited' && p.job.spec.shape === 'service');
+  }
+
+  /** What services without accelerators take on the machine. */
+  serviceUse(m: Machine): { cpus: number; memory: number } {
+    const u = { cpus: 0, memory: 0 };
+    for (const p of this.servicesOn(m)) {
+      if (p.job.spec.gpus > 0) continue;
+      u.cpus += p.job.spec.cpus;
+      u.memory += p.job.spec.memory;
+    }
+    return u;
+  }
+}
