--- a/test/apart.test.ts
+++ b/test/apart.test.ts
@@ -64,6 +64,26 @@
   assert.equal(c.running('run-v'), 2);
 });
 
+test('in a zone cut off from the state service too, work ends by its leases and goes on elsewhere once its machines are given back', () => {
+  const c = cluster();
+  c.submit(job('run-z', { shape: 'service', tasks: 6, rank: 3, cls: 'serve' }));
+  c.until('running', () => c.running('run-z') === 6);
+  const west = (x: string) => x === 'n1' || c.workers.find((w) => w.name === x)?.zone === 'west';
+  assert.ok(c.on('run-z').some(west));
+  c.trace = [];
+  c.cut = (a, b) => west(a) !== west(b);
+  c.node('n1').refused = true;
+  c.run(30);
+  assert.equal(c.workers.filter((w) => w.dead).length, 0, 'a shorter cut costs no machine');
+  c.until('its leases are over', () => c.running('run-z') < 6, 20);
+  c.until('all run again', () => c.running('run-z') === 6, 40);
+  const lines = c.trace.map((l) => l.trim().split(' ').slice(1).join(' '));
+  for (const w of c.workers.filter((x) => x.dead)) {
+    assert.ok(west(w.name) && lines.indexOf(`${w.name} kills its tasks: lease over`) < lines.indexOf(`${w.name} is given back`));
+  }
+  kept(c, 'zone-cut-from-everything');
+});
+
 test('late copies of reports make no dead machine seem alive, at its owner, at a keeper or after a takeover', () => {
   const c = cluster();
   c.submit(job('run-d', { shape: 'service', rank: 3, cls: 'serve' }));
@@ -216,3 +236,28 @@
   c.run(10);
   for (const n of c.nodes) assert.equal(n.core.ready, true);
 });
+
+test('a controller with its workers alone stops commanding with its lease, and refuses reports soon after', () => {
+  const c = cluster();
+  const n2 = c.node('n2');
+  const w = c.workers.find((x) => x.zone === 'east') as WorkerStandIn;
+  n2.refused = true;
+  c.cut = (a, b) => (a === 'n2' && b.startsWith('n')) || (b === 'n2' && a.startsWith('n'));
+  c.run(10);
+  assert.equal(late(n2, w.report()), 200, 'its workers are kept for a while');
+  c.run(9);
+  assert.equal(n2.core.owner.held.size, 0, 'no share is acted for without a lease');
+  // Time for a cancellation that it can't know of, less what a worker's own lease takes.
+  c.run(4);
+  assert.equal(late(n2, w.report()), 503);
+  c.cut = () => false;
+  n2.refused = false;
+  c.until('back', () => late(n2, w.report()) !== 503, 20);
+  const held = c.nodes.map((n) => n.core.owner.held.size);
+  c.run(30);
+  assert.equal(
+    c.nodes.reduce((n, x) => n + x.core.owner.held.size, 0),
+    3,
+    `shares held: ${held}`,
+  );
+});
