--- a/packages/core/src/commands.ts
+++ b/packages/core/src/commands.ts
@@ -85,7 +85,6 @@
     for (const p of sent) p.phase = 'sent';
     m.inflight = id;
     m.ask = false;
-    m.inflightAt = now;
     this.sent.set(id, { machine: m, sent, probe, seen: { session: m.session, seq: m.seq } });
     this.cx.emit({
       t: 'command',
--- a/packages/core/src/model.ts
+++ b/packages/core/src/model.ts
@@ -212,7 +212,6 @@
   dirty = false;
   bumping = false;
   inflight = 0;
-  inflightAt: Ms = 0;
   retryAt: Ms = 0;
   heardAt: Ms = 0;
   /** when another controller last said that it hears it */
@@ -241,7 +240,6 @@
   grantQueued = false;
   /** takes no more work without accelerators until then: it is being emptied */
   emptyUntil: Ms = -1;
-  used: Need = { cpus: 0, gpus: 0, memory: 0 };
 
   constructor(
     readonly name: string,
--- a/packages/core/src/owner.ts
+++ b/packages/core/src/owner.ts
@@ -39,7 +39,7 @@
   }
 
   gained(share: number, stamp: number, now: Ms): void {
-    this.work.held.set(share, { share, stamp, since: now });
+    this.work.held.set(share, { share, stamp });
     for (const m of this.cx.table.machines.values()) {
       if (m.share !== share) continue;
       this.resetMachine(m, now);
--- a/packages/core/src/work.ts
+++ b/packages/core/src/work.ts
@@ -7,7 +7,6 @@
 interface Held {
   share: number;
   stamp: number;
-  since: Ms;
 }
 
 /** Attempts carry the holding's stamp, so no two holders ever use the same one. */
