--- a/packages/core/src/commands.ts
+++ b/packages/core/src/commands.ts
@@ -21,12 +21,12 @@
   flush(m: Machine, now: Ms): void {
     if (m.inflight !== 0 || m.giveBack !== '' || m.addr === '' || now < m.retryAt || m.dirty || m.bumping) return;
     if (!m.resolved) {
-      this.send(m, [], [], true, now);
+      this.send(m, [], [], true);
       return;
     }
     // Silent, not answering, or odd: ask, rather than wait for the next report.
     if (now - m.heardAt > this.cx.settings.workers.reportS * 2000 || m.lostCount > 0 || m.ask) {
-      this.send(m, [], [], true, now);
+      this.send(m, [], [], true);
       return;
     }
     const cmds: Command[] = [];
@@ -61,7 +61,7 @@
         started.push(p);
       }
     }
-    if (cmds.length > 0) this.send(m, cmds, started, false, now);
+    if (cmds.length > 0) this.send(m, cmds, started, false);
   }
 
   /** Starts go out once every member has room in the held plan. */
@@ -79,7 +79,7 @@
     return true;
   }
 
-  private send(m: Machine, commands: Command[], sent: Placement[], probe: boolean, now: Ms): void {
+  private send(m: Machine, commands: Command[], sent: Placement[], probe: boolean): void {
     const id = this.cx.nextId();
     // Marked before anything leaves: from here on the tasks may be there.
     for (const p of sent) p.phase = 'sent';
