--- a/packages/core/src/lead.ts
+++ b/packages/core/src/lead.ts
@@ -556,13 +556,13 @@
     for (const o of this.options()) {
       const n = copies(d, o.type);
       if (n < 1 || !this.suits(d, o.type.name, o.zone, o.spot)) continue;
-      // What boots in a zone that is cut off is of no use until the cut is over.
-      if (this.owner.fleet.cut(o.zone)) continue;
       if (now < this.market(o.type.name, o.zone, o.spot).notBefore) continue;
       const hourly = o.spot ? o.type.spotPrice : o.type.price;
       // Work that can wait doesn't take a dear machine: a cheap one may come free in time.
       if (d.gpus === 0 && d.rank < 2 && hourly / o.type.cpus > 3 * cheapest && d.slackS > o.type.bootS + 25) continue;
-      const score = (hourly / Math.min(n, left)) * (1 + 0.001 * (inZone.get(o.zone) ?? 0));
+      // What boots in a zone that is cut off is of no use until the cut is over.
+      const late = this.owner.fleet.cut(o.zone) ? 10 : 1;
+      const score = (hourly / Math.min(n, left)) * (1 + 0.001 * (inZone.get(o.zone) ?? 0)) * late;
       if (!best || score < best.score) best = { ...o, score };
     }
     return best;
