--- a/packages/server/src/inbox.ts
+++ b/packages/server/src/inbox.ts
@@ -5,6 +5,8 @@
 export class Inbox {
   private readonly ranks: [(() => void)[], (() => void)[], { at: number; run: () => void; refuse: () => void }[]] = [[], [], []];
   private scheduled = false;
+  /** inputs taken since the last look, by rank, and requests refused for their age */
+  private taken = { reports: 0, decisions: 0, requests: 0, refused: 0 };
 
   constructor(
     private readonly clock: () => number,
@@ -28,6 +30,12 @@
     this.wake();
   }
 
+  counts(): Inbox['taken'] {
+    const t = this.taken;
+    this.taken = { reports: 0, decisions: 0, requests: 0, refused: 0 };
+    return t;
+  }
+
   private wake(): void {
     if (this.scheduled) return;
     this.scheduled = true;
@@ -39,13 +47,20 @@
     this.scheduled = false;
     for (const rank of [0, 1] as const) {
       const list = this.ranks[rank];
+      if (rank === 0) this.taken.reports += list.length;
+      else this.taken.decisions += list.length;
       this.ranks[rank] = [];
       for (const run of list) run();
     }
     const now = this.clock();
     for (const r of this.ranks[2].splice(0, 4)) {
-      if (now - r.at > this.staleMs) r.refuse();
-      else r.run();
+      if (now - r.at > this.staleMs) {
+        this.taken.refused++;
+        r.refuse();
+      } else {
+        this.taken.requests++;
+        r.run();
+      }
     }
     this.afterEach();
     if (this.ranks.some((l) => l.length > 0)) this.wake();
--- a/packages/server/src/service.ts
+++ b/packages/server/src/service.ts
@@ -66,7 +66,10 @@
       const cpu = process.cpuUsage();
       const { rss, heapUsed } = process.memoryUsage();
       const mb = (n: number) => Math.round(n / 1048576);
-      this.log.debug({ cpuS: (cpu.user + cpu.system) / 1e6, rssMb: mb(rss), heapMb: mb(heapUsed) }, 'process');
+      this.log.debug(
+        { cpuS: (cpu.user + cpu.system) / 1e6, rssMb: mb(rss), heapMb: mb(heapUsed), ...this.inbox.counts() },
+        'process',
+      );
     });
     this.log.info({ node: this.settings.core.node, addr: this.settings.publicAddr }, 'started');
   }
