--- a/packages/api/src/index.ts
+++ b/packages/api/src/index.ts
@@ -18,6 +18,8 @@
   constructor(
     private readonly handle: (r: Request) => void,
     private readonly healthy: () => boolean,
+    /** more is asked than can be done: users are refused at the door */
+    private readonly behind: () => boolean = () => false,
   ) {
     const app = express();
     this.app = app;
@@ -56,9 +58,11 @@
 
   listen(host: string, port: number): Promise<http.Server> {
     return new Promise((resolve, reject) => {
-      const server = http.createServer((req, res) =>
-        req.method === 'POST' && req.url === PATHS.report ? this.report(req, res) : this.app(req, res),
-      );
+      const server = http.createServer((req, res) => {
+        if (req.method === 'POST' && req.url === PATHS.report) this.report(req, res);
+        else if (req.url?.startsWith(PATHS.jobs) && this.behind()) this.refuse(req, res);
+        else this.app(req, res);
+      });
       server.listen(port, host);
       server.keepAliveTimeout = 75_000;
       server.requestTimeout = 15_000;
@@ -86,6 +90,11 @@
     });
   }
 
+  private refuse(req: http.IncomingMessage, res: http.ServerResponse): void {
+    req.resume();
+    this.reply(res, 503, { error: 'overloaded' }, 1);
+  }
+
   private keep(res: http.ServerResponse): number {
     const id = this.nextId++;
     this.open.set(id, res);
--- a/packages/core/src/commands.ts
+++ b/packages/core/src/commands.ts
@@ -5,6 +5,12 @@
 import type { Reports } from './reports.js';
 import { taskKey, type Work } from './work.js';
 
+/**
+ * Machines asked how they stand at once. After a takeover all have to be, and workers'
+ * reports, whose leases run, must not wait behind a hundred questions.
+ */
+const ASKS_PER_TICK = 6;
+
 /** Commands to workers: what is sent, and what its outcome means. */
 export class Commands {
   private readonly sent = new Map<
@@ -18,17 +24,20 @@
     private readonly reports: Reports,
   ) {}
 
-  flush(m: Machine, now: Ms): void {
-    if (m.inflight !== 0 || m.giveBack !== '' || m.addr === '' || now < m.retryAt || m.dirty || m.bumping) return;
-    if (!m.resolved) {
-      this.send(m, [], [], true);
-      return;
-    }
-    // Silent, not answering, or odd: ask, rather than wait for the next report.
-    if (now - m.heardAt > this.cx.settings.workers.reportS * 2000 || m.lostCount > 0 || m.ask) {
-      this.send(m, [], [], true);
-      return;
+  /** To all our machines what each is to be told or asked. */
+  flushAll(now: Ms): void {
+    let asks = ASKS_PER_TICK;
+    for (const m of this.cx.table.machines.values()) {
+      if (!this.work.held.has(m.share)) continue;
+      if (m.inflight !== 0 || m.giveBack !== '' || m.addr === '' || now < m.retryAt || m.dirty || m.bumping) continue;
+      // Silent, not answering, or odd: ask, rather than wait for the next report.
+      const odd = now - m.heardAt > this.cx.settings.workers.reportS * 2000 || m.lostCount > 0 || m.ask;
+      if (m.resolved && !odd) this.flush(m, now);
+      else if (asks-- > 0) this.send(m, [], [], true);
     }
+  }
+
+  private flush(m: Machine, now: Ms): void {
     const cmds: Command[] = [];
     const started: Placement[] = [];
     const free: Need = m.cap ? { cpus: m.cap.cpus, gpus: m.cap.gpus, memory: m.cap.memory } : { cpus: 0, gpus: 0, memory: 0 };
--- a/packages/core/src/owner.ts
+++ b/packages/core/src/owner.ts
@@ -146,7 +146,7 @@
     this.fleet.watchMachines(now);
     this.records.writeImages(now);
     this.planner.tick(now);
-    for (const m of this.cx.table.machines.values()) if (this.work.held.has(m.share)) this.commands.flush(m, now);
+    this.commands.flushAll(now);
   }
 
   /** What somebody reading the log wants to know first. */
--- a/packages/server/src/service.ts
+++ b/packages/server/src/service.ts
@@ -13,6 +13,9 @@
 
 const TICK_MS = 100;
 
+/** Timers this late: workers' reports wait too, so users are told to come back. */
+const BEHIND_MS = 500;
+
 /** Wires the core to its edges: inputs in, effects out. */
 export class Service {
   private readonly core: Core;
@@ -22,6 +25,8 @@
   private readonly peers: Peers;
   private readonly api: Api;
   private readonly inbox: Inbox;
+  /** how late timers fire, the worst of late: above some of it, more is asked than can be done */
+  private lateMs = 0;
 
   constructor(
     private readonly settings: Settings,
@@ -40,6 +45,7 @@
     this.api = new Api(
       (r) => this.request(r),
       () => this.core.ready,
+      () => this.lateMs > BEHIND_MS,
     );
   }
 
@@ -60,7 +66,13 @@
     this.peers.start();
     const pub = splitAddr(this.settings.publicAddr);
     await this.api.listen(pub.host, pub.port);
-    interval(TICK_MS).subscribe(() => inbox.decision(() => core.tick(steady())));
+    let due = steady() + TICK_MS;
+    interval(TICK_MS).subscribe(() => {
+      const now = steady();
+      this.lateMs = Math.max(now - due, this.lateMs / 2);
+      due = now + TICK_MS;
+      inbox.decision(() => core.tick(steady()));
+    });
     // What each controller's processor time and memory go to is worth seeing at any size.
     interval(10_000).subscribe(() => {
       const cpu = process.cpuUsage();
--- a/test/edges.test.ts
+++ b/test/edges.test.ts
@@ -3,8 +3,9 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { test } from 'node:test';
+import { Api } from '@archpost/api';
 import { Job, Machine, placeGang, Replica, type Room, Writer } from '@archpost/core';
-import { decodePeer, encodePeer, parseChanges, parseSubmission } from '@archpost/wire';
+import { decodePeer, encodePeer, PATHS, pack, parseChanges, parseSubmission } from '@archpost/wire';
 import { Inbox } from '../packages/server/src/inbox.js';
 import { loadSettings, SettingsError } from '../packages/server/src/settings.js';
 import { job, TYPES } from './stand-ins.js';
@@ -213,3 +214,49 @@
   writer.result(sent[1] as number, { kind: 'failed', keys: ['a/x'] }, 2100);
   assert.deepEqual(outcomes, ['ok']);
 });
+
+test('at the door: reports pass by, users are refused at once when more is asked than can be done', async () => {
+  let behind = false;
+  const seen: string[] = [];
+  const api: Api = new Api(
+    (r) => {
+      seen.push(r.kind);
+      api.answer(r.id, 200, {});
+    },
+    () => true,
+    () => behind,
+  );
+  const server = await api.listen('127.0.0.1', 0);
+  const { port } = server.address() as { port: number };
+  const call = (path: string, body?: Uint8Array) =>
+    fetch(`http://127.0.0.1:${port}${path}`, body ? { method: 'POST', body } : {}).then(async (r) => {
+      await r.arrayBuffer();
+      return { status: r.status, retry: r.headers.get('retry-after') };
+    });
+  const report = pack({
+    host: 'n-1',
+    address: '1.2.3.4:5',
+    build: 'g8',
+    yard: 'a',
+    loaners: false,
+    shift: 1,
+    tally: 1,
+    pieces: [],
+  });
+  try {
+    assert.equal((await call(PATHS.report, report)).status, 200);
+    assert.equal((await call(PATHS.report, pack({ host: 'n-1' }))).status, 400, 'a field is missing');
+    assert.equal((await call(PATHS.report, new Uint8Array(64 * 1024 + 1))).status, 400, 'over 64 KiB');
+    assert.equal((await call(PATHS.jobs, new Uint8Array(64 * 1024 + 1))).status, 400, 'over 64 KiB');
+    assert.equal((await call(`${PATHS.jobs}/run-000001`)).status, 200);
+    behind = true;
+    assert.deepEqual(await call(`${PATHS.jobs}/run-000001`), { status: 503, retry: '1' });
+    assert.deepEqual(await call(PATHS.jobs, pack({})), { status: 503, retry: '1' });
+    assert.equal((await call(PATHS.report, report)).status, 200, 'reports are taken all the same');
+    assert.equal((await call(PATHS.up)).status, 200);
+    assert.deepEqual(seen, ['report', 'poll', 'report']);
+  } finally {
+    server.closeAllConnections();
+    server.close();
+  }
+});
