--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -257,13 +257,13 @@
   report(id: number, r: Report, now: Ms): void {
     this.now = now;
     if (!this.mayKeep(now)) {
-      this.emit({ t: 'answer', id, status: 503, body: { error: 'not entitled' } });
+      this.toWorker(id, 503, { error: 'not entitled' });
       return;
     }
     const m = this.table.machines.get(r.machine);
     if (!m) {
       this.lead.stranger({ machine: r.machine, addr: r.addr, type: r.type, zone: r.zone, spot: r.spot }, now);
-      this.emit({ t: 'answer', id, status: 421, body: goHome(null) });
+      this.toWorker(id, 421, goHome(null));
       this.after(now);
       return;
     }
@@ -271,14 +271,14 @@
     // It has been told a higher token than is known here: whatever is answered, it drops, and
     // stays here while its lease runs out. Another controller must answer it.
     if (r.token > this.table.token(m)) {
-      this.emit({ t: 'answer', id, status: 503, body: { error: 'not entitled' } });
+      this.toWorker(id, 503, { error: 'not entitled' });
       return;
     }
     // Workers stay with a controller of their own zone: a cut between zones then costs
     // them nothing, where finding another controller could take longer than their lease.
     const near = this.nearNode(r.zone, holder, now);
     if (near !== this.settings.node) {
-      this.emit({ t: 'answer', id, status: 421, body: goHome(near) });
+      this.toWorker(id, 421, goHome(near));
       return;
     }
     const stops: Command[] = [];
@@ -293,10 +293,15 @@
         }
       }
     }
-    this.emit({ t: 'answer', id, status: 200, body: reportAnswer(this.table.token(m), stops) });
+    this.toWorker(id, 200, reportAnswer(this.table.token(m), stops));
     this.after(now);
   }
 
+  private toWorker(id: number, status: number, body: unknown): void {
+    this.told.set(status, (this.told.get(status) ?? 0) + 1);
+    this.emit({ t: 'answer', id, status, body });
+  }
+
   /**
    * May workers' reports be answered here, so that their leases go on? For as long as a
    * cancellation that we can't have learned of would still be kept: what we last let go on
@@ -476,6 +481,8 @@
     });
   }
 
+  /** answers to workers since the last look, by status */
+  private readonly told = new Map<number, number>();
   private lastFigures: Ms = 0;
   /**
    * The limit on changes goes to those who have something to write: a part to each in any
@@ -557,10 +564,12 @@
       this.lastFigures = now;
       this.log('debug', 'figures', {
         changes: this.writer.purposes(),
+        workers: Object.fromEntries(this.told),
         jobs: this.table.jobs.size,
         machines: this.table.machines.size,
         barriers: this.waiters.length,
       });
+      this.told.clear();
     }
     this.shareWrites(now);
     if (now - this.lastStatus > 700) {
