--- a/packages/core/src/lead.ts
+++ b/packages/core/src/lead.ts
@@ -138,7 +138,8 @@
       this.cx.emit({ t: 'list' });
     }
     this.grantStrangers(now);
-    if (now - this.lastRound < 500 || now - this.cx.freshAt > 4000) return;
+    // A round weighs all machines: with many of them, rounds are rarer.
+    if (now - this.lastRound < 500 + this.cx.table.machines.size || now - this.cx.freshAt > 4000) return;
     this.lastRound = now;
     const shares = this.shares(now);
     this.move(shares, now);
@@ -180,7 +181,10 @@
     const { table, writer } = this.cx;
     const all = new Map<string, Stranger>();
     const add = (s: Stranger) => {
-      if (!table.machines.has(s.machine) && !this.granting.has(s.machine)) all.set(s.machine, s);
+      if (table.machines.has(s.machine) || this.granting.has(s.machine)) return;
+      const gone = this.goneAt.get(s.machine);
+      // A late report of a machine that was given back.
+      if (gone === undefined || now - gone >= 120_000) all.set(s.machine, s);
     };
     for (const s of this.strangersNow(now)) add(s);
     for (const p of this.cx.peers.values()) if (now - p.at < 5000) for (const s of p.status.strangers) add(s);
@@ -191,9 +195,6 @@
       if (cap) this.serve(wants, g.share, g, cap);
     }
     for (const s of all.values()) {
-      const gone = this.goneAt.get(s.machine);
-      // A late report of a machine that was given back.
-      if (gone !== undefined && now - gone < 120_000) continue;
       this.granting.add(s.machine);
       const share = this.shareInNeed(s, wants) ?? this.shareFor(s.type);
       this.pendingGrants.set(s.machine, { share, type: s.type, zone: s.zone, spot: s.spot, at: now });
--- a/packages/core/src/owner.ts
+++ b/packages/core/src/owner.ts
@@ -9,6 +9,9 @@
 import { Reports } from './reports.js';
 import { Work } from './work.js';
 
+/** What is told of a share is worked out anew after this long. */
+const TOLD_MS = 400;
+
 /** Decisions for the shares held here: what starts where, what stops, what is stored. */
 export class Owner {
   readonly work: Work;
@@ -52,6 +55,7 @@
 
   lost(share: number): void {
     this.work.held.delete(share);
+    this.told.delete(share);
     for (const m of this.cx.table.machines.values()) {
       if (m.share !== share) continue;
       m.placements.clear();
@@ -210,7 +214,18 @@
     if (all.length < j.spec.tasks && j.doneCount < j.spec.tasks && !this.work.unproven(j)) this.work.failGang(j);
   }
 
+  /** As it was at most a moment ago: the lead and the status both ask. */
   share(share: number, now: Ms): PeerShare {
+    const old = this.told.get(share);
+    if (old && now - old.at < TOLD_MS && this.held.has(share)) return old.share;
+    const fresh = this.view(share, now);
+    this.told.set(share, { at: now, share: fresh });
+    return fresh;
+  }
+
+  private readonly told = new Map<number, { at: Ms; share: PeerShare }>();
+
+  private view(share: number, now: Ms): PeerShare {
     const guar = this.planner.guarantees();
     const machines: PeerMachine[] = [];
     const clearable = this.planner.clearable(share, now);
