Keep machines and limit for a gang that has waited long

Cause: each machine that came free went to smaller gangs, and a gang that had missed all objectives went last. The test fails without the reservation (not begun in 240 s).

--- a/packages/core/src/planner.ts
+++ b/packages/core/src/planner.ts
@@ -12,6 +12,9 @@
 /** What has no room is planned for again after this long, if nothing else happens. */
 const REPLAN_MS = 600;
 
+/** A gang that has waited for this many plan waits is aged. */
+const AGED_PLAN_WAITS = 6;
+
 /** Places weighed by a plan for which planning pauses a millisecond. */
 const WEIGHED_PER_MS = 25;
 
@@ -122,26 +125,33 @@
     let weighed = 0;
     const queue = [...this.cx.table.jobs.values()]
       .filter((j) => this.work.held.has(j.share) && j.state === 'live' && j.pendingCount() > 0)
-      .map((j) => ({ j, g: guar.get(j) ?? { within: false, firm: false }, due: this.dueOf(j, now) }))
+      .map((j) => ({ j, g: guar.get(j) ?? { within: false, firm: false }, due: this.dueOf(j, now), aged: this.aged(j, now) }))
       .sort(
         (a, b) =>
-          b.j.spec.rank - a.j.spec.rank || Number(b.g.within) - Number(a.g.within) || a.due - b.due || a.j.stamp - b.j.stamp,
+          b.j.spec.rank - a.j.spec.rank ||
+          Number(b.aged) - Number(a.aged) ||
+          (a.aged ? a.j.stamp - b.j.stamp : 0) ||
+          Number(b.g.within) - Number(a.g.within) ||
+          a.due - b.due ||
+          a.j.stamp - b.j.stamp,
       );
     this.work.unmet = [];
     let later = false;
-    for (const { j, g } of queue) {
+    let open = rooms;
+    for (const { j, g, aged } of queue) {
       if (now < j.notBefore) {
         later = true;
         continue;
       }
       if (this.work.unproven(j)) continue;
       weighed += rooms.length;
-      const mine = rooms.filter((r) => r.machine.share === j.share && allowed(j, r.machine) && !j.errors.has(r.machine.name));
+      const mine = open.filter((r) => r.machine.share === j.share && allowed(j, r.machine) && !j.errors.has(r.machine.name));
       const left =
         j.spec.shape === 'gang'
           ? this.planGang(j, g.within, mine, use, guar, now)
           : this.planTasks(j, g.within, mine, use, guar, now);
       if (left > 0) this.work.unmet.push({ job: j, count: left, within: g.within });
+      if (aged && j.placements.size === 0) open = this.reserve(j, open, use);
     }
     this.nextPlanAt = now + Math.min(REPLAN_MS, weighed / WEIGHED_PER_MS);
     this.unsettled = later || this.work.unmet.length > 0;
@@ -151,6 +161,34 @@
     this.gather(now);
   }
 
+  /** A gang that has waited for so long goes before all others of its rank. */
+  private aged(j: Job, now: Ms): boolean {
+    return j.spec.shape === 'gang' && now - j.arrivedAt > AGED_PLAN_WAITS * this.cx.settings.policy.planWaitS * 1000;
+  }
+
+  /**
+   * Free machines that an aged gang could use are kept for it, up to what it lacks: smaller
+   * work would take each as it comes free, and the gang would never see enough at once. The
+   * oldest is planned for first, so two gangs don't wait for each other's.
+   */
+  private reserve(j: Job, rooms: Room[], use: { cpus: number; gpus: number }[]): Room[] {
+    const allowedNow = this.quotaLeft(j, use) >= j.spec.tasks;
+    // Its part of the team's limit is kept too.
+    for (let i = 0; i < j.spec.tasks; i++) this.addUse(use, j);
+    if (!allowedNow) return rooms;
+    let lacks = j.spec.tasks;
+    const kept = new Set<Room>();
+    for (const r of rooms) {
+      if (lacks <= 0) break;
+      if (r.machine.share !== j.share || !allowed(j, r.machine) || j.errors.has(r.machine.name)) continue;
+      const n = copies(j.need, r);
+      if (n === 0) continue;
+      kept.add(r);
+      lacks -= n;
+    }
+    return kept.size === 0 ? rooms : rooms.filter((r) => !kept.has(r));
+  }
+
   private quotaLeft(j: Job, use: { cpus: number; gpus: number }[]): number {
     const t = this.cx.settings.teams[j.team];
     const u = use[j.team];
--- a/test/safety.test.ts
+++ b/test/safety.test.ts
@@ -281,3 +281,24 @@
   c.until('done', () => c.ask('run-low') === 'done', 60);
   kept(c, 'gang-stopped-whole');
 });
+
+test('a large gang that has waited gets machines kept for it, while small ones go on coming', () => {
+  const c = new Cluster();
+  for (let i = 0; i < 3; i++) c.machine(`g${i}`, 'big', 'east');
+  c.settle();
+  const one = { team: 'red', shape: 'gang' as const, gpus: 8, cpus: 40, estimateS: 18, rank: 1 };
+  let n = 0;
+  const small = () => c.submit(job(`run-s${n++}`, one));
+  small();
+  c.run(6);
+  small();
+  c.until('two run', () => c.running('run-s0') === 1 && c.running('run-s1') === 1, 30);
+  // Three machines, of which two are always in use; the team may use two at once.
+  c.submit(job('run-big', { ...one, tasks: 2, estimateS: 5 }));
+  const since = c.now;
+  while (c.running('run-big') < 2 && c.now - since < 240_000) {
+    c.run(7);
+    small();
+  }
+  assert.equal(c.running('run-big'), 2, `not begun in ${(c.now - since) / 1000} s`);
+});
