--- a/test/apart.test.ts
+++ b/test/apart.test.ts
@@ -261,3 +261,63 @@
     `shares held: ${held}`,
   );
 });
+
+test('once troubles are over, every accepted job is answered by every controller, whatever became of its share', () => {
+  const c = cluster();
+  for (let i = 0; i < 9; i++) {
+    const team = ['red', 'blue', 'green'][i % 3] as string;
+    c.submit(job(`run-${i}`, { team, estimateS: i < 3 ? 3 : 400 }), c.nodes[i % 3]);
+  }
+  c.until('some done', () => c.finished.size >= 3, 40);
+  c.cancel('run-4');
+  // One controller crashes and comes back in the middle of the others' election, one is
+  // refused by the state service until its shares are gone, and then all lose it.
+  c.node('n0').crash();
+  c.node('n2').refused = true;
+  c.run(2);
+  c.node('n0').restart();
+  c.run(0.3);
+  c.node('n0').crash();
+  c.node('n0').restart();
+  c.run(28);
+  c.stateDown = true;
+  c.run(10);
+  c.stateDown = false;
+  c.node('n2').refused = false;
+  c.run(25);
+  for (const n of c.nodes) {
+    assert.ok(n.core.ready, `${n.name} takes users`);
+    for (let i = 0; i < 9; i++) {
+      const said = c.ask(`run-${i}`, n);
+      const want = i < 3 ? ['done'] : i === 4 ? ['aborted'] : ['queued', 'running'];
+      assert.ok(want.includes(said), `${n.name} says ${said} of run-${i}`);
+    }
+  }
+  assert.equal(
+    c.nodes.reduce((n, x) => n + x.core.owner.held.size, 0),
+    3,
+    'each share has one holder',
+  );
+});
+
+test('repeats of submissions and cancellations that come late change nothing', () => {
+  const c = cluster();
+  c.submit(job('run-once', { estimateS: 3 }));
+  c.submit(job('run-gone', { estimateS: 400 }));
+  c.until('running', () => c.running('run-gone') === 1);
+  c.cancel('run-gone');
+  c.until('done', () => c.ask('run-once') === 'done', 40);
+  const starts = c.trace.filter((l) => l.includes('starts')).length;
+  for (const n of c.nodes) {
+    c.submit(c.specs.get('run-once') as ReturnType<typeof job>, n);
+    c.submit(c.specs.get('run-gone') as ReturnType<typeof job>, n);
+    c.cancel('run-once', n);
+  }
+  c.run(10);
+  assert.equal(c.trace.filter((l) => l.includes('starts')).length, starts, 'nothing is started again');
+  for (const n of c.nodes) {
+    assert.equal(c.ask('run-once', n), 'done');
+    assert.equal(c.ask('run-gone', n), 'aborted');
+  }
+  assert.equal(c.trace.filter((l) => l.includes('user told 201')).length, 2);
+});
