--- a/test/apart.test.ts
+++ b/test/apart.test.ts
@@ -2,17 +2,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { Report } from '@archpost/wire';
-import { Cluster, job, kept, type Node, type WorkerStandIn } from './stand-ins.js';
+import { type Cluster, holderOf, job, kept, type Node, shareOf, smallCluster, type WorkerStandIn } from './stand-ins.js';
 
-function cluster(machines = 8): Cluster {
-  const c = new Cluster();
-  for (let i = 0; i < machines; i++) c.machine(`m${i}`, 'small', i % 2 === 0 ? 'east' : 'west');
-  c.settle();
-  return c;
-}
-
-const holderOf = (c: Cluster, share: number) => c.nodes.find((n) => n.up)?.core.table.holder(share)?.holder.node ?? '';
-const shareOf = (c: Cluster, id: string) => c.nodes.find((n) => n.up)?.core.table.jobs.get(id)?.share ?? -1;
+const cluster = (machines = 8) => smallCluster(machines);
 const machineOf = (c: Cluster, id: string) => c.workers.find((w) => w.name === c.on(id)[0]) as WorkerStandIn;
 /** Hands a copy of a report to a controller, as a network that held it back would. */
 const late = (n: Node, r: Report) => {
--- a/test/safety.test.ts
+++ b/test/safety.test.ts
@@ -1,19 +1,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { Cluster, job, kept, type WorkerStandIn } from './stand-ins.js';
+import { Cluster, holderOf, job, kept, shareOf, smallCluster, type WorkerStandIn } from './stand-ins.js';
 
-function cluster(machines = 6): Cluster {
-  const c = new Cluster();
-  for (let i = 0; i < machines; i++) c.machine(`m${i}`, 'small', i % 2 === 0 ? 'east' : 'west');
-  c.settle();
-  return c;
-}
-
-const holderOf = (c: Cluster, id: string) => {
-  const any = c.nodes.find((n) => n.up);
-  const share = any?.core.table.jobs.get(id)?.share ?? -1;
-  return any?.core.table.holder(share)?.holder.node ?? '';
-};
+const cluster = (machines = 6) => smallCluster(machines);
+const holderOfJob = (c: Cluster, id: string) => holderOf(c, shareOf(c, id));
 
 test('an array runs to its end, once, and its user is told so by every node', () => {
   const c = cluster();
@@ -29,7 +19,7 @@
   const c = cluster();
   c.submit(job('run-s', { shape: 'service', rank: 3, cls: 'serve' }));
   c.until('running', () => c.running('run-s') === 1);
-  const owner = holderOf(c, 'run-s');
+  const owner = holderOfJob(c, 'run-s');
   const machine = c.on('run-s')[0] as string;
   c.cloudDown = true;
   c.node(owner).crash();
@@ -78,7 +68,7 @@
   const c = cluster();
   const late: (() => void)[] = [];
   c.submit(job('run-t', { tasks: 2, estimateS: 3 }));
-  const owner = holderOf(c, 'run-t');
+  const owner = holderOfJob(c, 'run-t');
   c.loseTxn = (e, apply) => {
     if (!e.writes.some((x) => 'put' in x && /^a\/[jp]\/run-t/.test(x.put))) return false;
     late.push(apply);
@@ -100,7 +90,7 @@
   const c = cluster();
   c.submit(job('run-c', { tasks: 3, estimateS: 500 }));
   c.until('running', () => c.running('run-c') === 3);
-  c.node(holderOf(c, 'run-c')).crash();
+  c.node(holderOfJob(c, 'run-c')).crash();
   c.run(1);
   c.cancel('run-c');
   c.until('gone', () => c.on('run-c').length === 0, 36);
@@ -133,7 +123,7 @@
   c.settle();
   c.submit(job('run-g', { shape: 'gang', tasks: 4, cpus: 4, estimateS: 10, rank: 2 }));
   c.until('a member started', () => c.on('run-g').length > 0, 40);
-  c.node(holderOf(c, 'run-g')).crash();
+  c.node(holderOfJob(c, 'run-g')).crash();
   c.run(4);
   c.nodes.find((n) => !n.up)?.restart();
   c.until('done', () => c.ask('run-g') === 'done', 90);
@@ -152,7 +142,7 @@
   c.cloudDown = true;
   const w = c.workers.find((x) => x.name === c.on('run-q')[0]);
   assert.ok(w);
-  const owner = c.node(holderOf(c, 'run-q'));
+  const owner = c.node(holderOfJob(c, 'run-q'));
   owner.crash();
   w.hung = true;
   c.submit(job('run-r', { team: 'green', shape: 'gang', gpus: 8, cpus: 40, estimateS: 5, rank: 2 }));
--- a/test/stand-ins.ts
+++ b/test/stand-ins.ts
@@ -649,6 +649,20 @@
   }
 }
 
+/** Small machines in both zones by turns, granted and answering. */
+export function smallCluster(machines: number): Cluster {
+  const c = new Cluster();
+  for (let i = 0; i < machines; i++) c.machine(`m${i}`, 'small', i % 2 === 0 ? 'east' : 'west');
+  c.settle();
+  return c;
+}
+
+const anyUp = (c: Cluster) => c.nodes.find((n) => n.up);
+
+/** The share that a job belongs to, and the controller that holds a share, as any controller sees it. */
+export const shareOf = (c: Cluster, id: string): number => anyUp(c)?.core.table.jobs.get(id)?.share ?? -1;
+export const holderOf = (c: Cluster, share: number): string => anyUp(c)?.core.table.holder(share)?.holder.node ?? '';
+
 /**
  * Compares what happened with the trace kept under test/traces, which is there to be read.
  * UPDATE_TRACES=1 writes it anew: look at what changed before committing it.
