--- a/packages/core/src/lead.ts
+++ b/packages/core/src/lead.ts
@@ -1,6 +1,6 @@
 import type { Listed, MachineType, PeerDemand, PeerMachine, PeerShare } from '@archpost/wire';
 import type { Context } from './context.js';
-import { type Machine, type Ms, type Need, SCARCE_AFTER_S } from './model.js';
+import { type Machine, type Ms, type Need, SCARCE_AFTER_S, TOP_RANK } from './model.js';
 import type { Owner } from './owner.js';
 import { copies } from './placement.js';
 import { KEY } from './table.js';
@@ -40,6 +40,9 @@
 /** A granted machine is probed, planned for and told of within this time. */
 const GRANT_SHOWS_MS = 1500;
 
+/** Work of the highest rank that waited for so many plan waits gets machines that bear firm work elsewhere. */
+const PRESSING_PLAN_WAITS = 1.5;
+
 interface Market {
   notBefore: Ms;
   refusals: number;
@@ -322,7 +325,11 @@
           // Machines with accelerators that may not be had again stay for what needs them, unless
           // the most urgent work has found nothing else for a while.
           const scarce = m.cap.gpus > 0 && !m.spot && !this.cx.plenty(m.cap.name) && table.gpuShares.has(s.share);
-          if (w.d.gpus === 0 && scarce && (w.d.rank < 3 || w.d.waitS < SCARCE_AFTER_S || p.tasks > 0)) continue;
+          // Work on them gives way only to what has pressed for longer than its own share needs to clear one.
+          const pressing = w.d.rank >= TOP_RANK && w.d.waitS > PRESSING_PLAN_WAITS * this.cx.settings.policy.planWaitS;
+          if (w.d.gpus === 0 && scarce && (w.d.rank < TOP_RANK || w.d.waitS < SCARCE_AFTER_S || (p.tasks > 0 && !pressing)))
+            continue;
+          if (p.firmRank >= TOP_RANK - 1 && !pressing) continue;
           // Ordinary machines stay for what can't use others.
           if (w.d.spot && !m.spot && w.d.gpus === 0 && idle(s) <= 3) continue;
           if (w.d.gpus === 0 && m.cap.gpus > 0 && w.d.rank < 2 && p.tasks > 0) continue;
--- a/packages/core/src/model.ts
+++ b/packages/core/src/model.ts
@@ -48,6 +48,9 @@
   policy: Policy;
 }
 
+/** The rank of work that comes before all other, and before guarantees too once it presses. */
+export const TOP_RANK = 3;
+
 /** Services wait this long for other room before they take a scarce machine with accelerators. */
 export const SCARCE_AFTER_S = 8;
 
--- a/packages/core/src/owner.ts
+++ b/packages/core/src/owner.ts
@@ -2,7 +2,7 @@
 import { Commands } from './commands.js';
 import type { Context } from './context.js';
 import { Fleet } from './fleet.js';
-import type { Job, Machine, Ms, Placement } from './model.js';
+import { type Job, type Machine, type Ms, type Placement, TOP_RANK } from './model.js';
 import { zoneAllows, zoneCounts } from './placement.js';
 import { Planner } from './planner.js';
 import { Records } from './records.js';
@@ -235,7 +235,8 @@
       let firmRank = -1;
       for (const p of m.placements.values()) {
         if (p.phase === 'exited' || (p.job.spec.shape === 'service' && clearable.has(m))) continue;
-        firmRank = Math.max(firmRank, guar.get(p.job)?.firm ? 9 : p.job.spec.rank);
+        // Within a guarantee it gives way to the highest rank only.
+        firmRank = Math.max(firmRank, p.job.spec.rank, guar.get(p.job)?.firm ? TOP_RANK - 1 : -1);
       }
       if (!this.work.usable(m, now)) firmRank = 9;
       machines.push({
--- a/packages/core/src/planner.ts
+++ b/packages/core/src/planner.ts
@@ -1,5 +1,5 @@
 import type { Context } from './context.js';
-import { type Job, type Machine, type Ms, type Need, type Placement, SCARCE_AFTER_S } from './model.js';
+import { type Job, type Machine, type Ms, type Need, type Placement, SCARCE_AFTER_S, TOP_RANK } from './model.js';
 import { allowed, copies, domains, EPS, fits, placeGang, type Room, take, zoneAllows, zoneCounts } from './placement.js';
 import type { Work } from './work.js';
 
@@ -477,7 +477,7 @@
       // A better place (the image at hand) may be had from lesser work.
       if (!best || (j.spec.shape === 'service' && best.s < -1)) {
         const other = order.filter((o) => (!best || o.s > best.s + 1) && zoneAllows(j, counts, o.r.machine.zone)).map((o) => o.r);
-        room = this.evictFor(j, within, other, guar, now) ?? room;
+        room = this.evictFor(j, within, best ? other.filter((r) => !this.bearsFirm(r.machine, guar)) : other, guar, now) ?? room;
       }
       if (!room) break;
       const index = j.nextPending();
@@ -493,6 +493,11 @@
     return left - unplaceable;
   }
 
+  private bearsFirm(m: Machine, guar: Map<Job, { within: boolean; firm: boolean }>): boolean {
+    for (const p of m.placements.values()) if (p.phase !== 'exited' && guar.get(p.job)?.firm) return true;
+    return false;
+  }
+
   private addUse(use: { cpus: number; gpus: number }[], j: Job): void {
     const u = use[j.team];
     if (!u) return;
@@ -500,16 +505,33 @@
     u.gpus += j.spec.gpus;
   }
 
-  /** May this placement be stopped for a job of that rank? (DESIGN: above guarantee; PROTOCOL: rank) */
+  /**
+   * May this placement be stopped for a job of that rank? (DESIGN: above guarantee; PROTOCOL: rank)
+   * Work within a guarantee is stopped for a pressing service alone.
+   */
   private victim(p: Placement, j: Job, within: boolean, guar: Map<Job, { within: boolean; firm: boolean }>): boolean {
     if (p.stop !== null || p.phase === 'exited' || p.job === j) return false;
     const g = guar.get(p.job);
-    if (g?.firm) return false;
+    if (g?.firm && !this.pressing(j)) return false;
     if (p.job.spec.rank < j.spec.rank) return true;
     if (!within || p.job.team === j.team || g === undefined || j.spec.gpus === 0) return false;
     return !g.within || p.job.spec.shape === 'array';
   }
 
+  /**
+   * Services of the highest rank that found no room for a plan wait: when many machines are
+   * gone at once, they come before gangs that stand within a guarantee. Without this, 176
+   * replicas waited out a cut of 90 s while 24 machines trained on.
+   */
+  private pressing(j: Job): boolean {
+    return (
+      j.spec.rank === TOP_RANK &&
+      j.spec.shape === 'service' &&
+      j.waitsSince >= 0 &&
+      this.work.now - j.waitsSince > this.cx.settings.policy.planWaitS * 1000
+    );
+  }
+
   private cost(p: Placement, now: Ms): number {
     const ran = p.ranSince >= 0 ? (now - p.ranSince) / 1000 : 0;
     return p.job.spec.rank * 1000 + (p.phase === 'planned' ? -1 : ran) + (p.job.spec.shape === 'gang' ? 500 : 0);
--- a/test/stand-ins.ts
+++ b/test/stand-ins.ts
@@ -352,7 +352,7 @@
   }
 
   private fresh(): Core {
-    return new Core(settings(this.name, this.cluster.names), `${this.name}-${this.boots++}`);
+    return new Core(this.cluster.tune(settings(this.name, this.cluster.names)), `${this.name}-${this.boots++}`);
   }
 
   crash(): void {
@@ -443,7 +443,7 @@
       const r = apply();
       later(10, () => core.txnResult(e.id, r, cluster.now));
     } else if (e.t === 'command') {
-      const w = cluster.workers.find((x) => x.name === e.machine);
+      const w = cluster.worker(e.machine);
       if (!w || w.dead || w.hung || cluster.cut(this.name, e.machine) || cluster.deaf(this.name, e.machine)) {
         if (w?.hung) w.held.push(() => void w.command(e.token, e.session, e.commands));
         return later(2500, () => core.commandResult(e.id, { kind: 'lost' }, cluster.now));
@@ -451,7 +451,7 @@
       const r = w.command(e.token, e.session, e.commands);
       later(10, () => core.commandResult(e.id, r, cluster.now));
     } else if (e.t === 'ask') {
-      const w = cluster.workers.find((x) => x.name === e.addr);
+      const w = cluster.worker(e.addr);
       const ok = w !== undefined && !w.dead && !w.hung && !cluster.cut(this.name, w.name) && !cluster.deaf(this.name, w.name);
       later(ok ? 10 : 1500, () => core.asked(e.id, ok, cluster.now));
     } else if (e.t === 'status') {
@@ -500,11 +500,19 @@
   relays = 0;
   trace: string[] = [];
   private queue: { at: number; run: () => void }[] = [];
+  private readonly byName = new Map<string, WorkerStandIn>();
 
-  constructor(readonly names = ['n0', 'n1', 'n2']) {
+  constructor(
+    readonly names = ['n0', 'n1', 'n2'],
+    readonly tune: (s: CoreSettings) => CoreSettings = (s) => s,
+  ) {
     this.nodes = names.map((n) => new Node(this, n));
   }
 
+  worker(name: string): WorkerStandIn | undefined {
+    return this.byName.get(name);
+  }
+
   node(name: string): Node {
     return this.nodes.find((n) => n.name === name) as Node;
   }
@@ -520,11 +528,12 @@
   machine(name: string, type = 'small', zone = 'east', spot = false): WorkerStandIn {
     const w = new WorkerStandIn(this, name, type, zone, spot);
     this.workers.push(w);
+    this.byName.set(name, w);
     return w;
   }
 
   remove(name: string): void {
-    const w = this.workers.find((x) => x.name === name);
+    const w = this.byName.get(name);
     if (!w) return;
     w.dead = true;
     w.tasks.clear();
@@ -597,6 +606,10 @@
     );
   }
 
+  private broken(what: string): never {
+    assert.fail(`${what}\n${this.trace.join('\n')}`);
+  }
+
   /** ran_twice and wrong_place, at the moment of each start. */
   started(w: WorkerStandIn, id: string, index: number): void {
     const spec = this.specs.get(id) as JobSpec;
@@ -604,17 +617,17 @@
     for (const x of live) {
       for (const t of x.tasks.values()) {
         if (t.job !== id || t.state === 'exited') continue;
-        assert.ok(t.index !== index, `ran_twice: ${id}/${index} on ${x.name} and ${w.name}\n${this.trace.join('\n')}`);
-        assert.ok(!spec.oneZone || x.zone === w.zone, `wrong_place: ${id} in two zones\n${this.trace.join('\n')}`);
+        if (t.index === index) this.broken(`ran_twice: ${id}/${index} on ${x.name} and ${w.name}`);
+        if (spec.oneZone && x.zone !== w.zone) this.broken(`wrong_place: ${id} in two zones`);
       }
     }
     const inZone = live.reduce(
       (n, x) => n + (x.zone === w.zone ? [...x.tasks.values()].filter((t) => t.job === id && t.state !== 'exited').length : 0),
       0,
     );
-    assert.ok(!spec.spread || inZone < Math.ceil(spec.tasks / 2), `wrong_place: ${id} not spread\n${this.trace.join('\n')}`);
+    if (spec.spread && inZone >= Math.ceil(spec.tasks / 2)) this.broken(`wrong_place: ${id} not spread`);
     const told = this.cancelledAt.get(id);
-    assert.ok(told === undefined || this.now - told <= 36_000, `ran_cancelled: ${id} starts\n${this.trace.join('\n')}`);
+    if (told !== undefined && this.now - told > 36_000) this.broken(`ran_cancelled: ${id} starts`);
   }
 
   private check(): void {
@@ -626,14 +639,11 @@
         const spec = this.specs.get(t.job) as JobSpec;
         use.set(spec.team, (use.get(spec.team) ?? 0) + spec.gpus);
         const told = this.cancelledAt.get(t.job);
-        assert.ok(
-          told === undefined || this.now - told <= 36_000,
-          `ran_cancelled: ${t.job} on ${w.name}\n${this.trace.join('\n')}`,
-        );
+        if (told !== undefined && this.now - told > 36_000) this.broken(`ran_cancelled: ${t.job} on ${w.name}`);
       }
     }
-    for (const t of settings('n0', this.names).teams) {
-      assert.ok((use.get(t.name) ?? 0) <= t.gpusMax, `quota: ${t.name}\n${this.trace.join('\n')}`);
+    for (const t of this.tune(settings('n0', this.names)).teams) {
+      if ((use.get(t.name) ?? 0) > t.gpusMax) this.broken(`quota: ${t.name}`);
     }
   }
 
