--- a/packages/core/src/owner.ts
+++ b/packages/core/src/owner.ts
@@ -3,6 +3,7 @@
 import type { Context } from './context.js';
 import { Fleet } from './fleet.js';
 import { type Job, type Machine, type Ms, type Placement, TOP_RANK } from './model.js';
+import { Order } from './order.js';
 import { zoneAllows, zoneCounts } from './placement.js';
 import { Planner } from './planner.js';
 import { Records } from './records.js';
@@ -19,6 +20,7 @@
   readonly fleet: Fleet;
   readonly commands: Commands;
   private readonly records: Records;
+  private readonly order: Order;
   private readonly planner: Planner;
   private lastTick: Ms = 0;
   private lastSummary: Ms = 0;
@@ -29,7 +31,8 @@
     this.reports = new Reports(cx, this.work, this.records);
     this.fleet = new Fleet(cx, this.work);
     this.commands = new Commands(cx, this.work, this.reports);
-    this.planner = new Planner(cx, this.work);
+    this.order = new Order(cx, this.work);
+    this.planner = new Planner(cx, this.work, this.order);
   }
 
   /** The shares held here. */
@@ -226,7 +229,7 @@
   private readonly told = new Map<number, { at: Ms; share: PeerShare }>();
 
   private view(share: number, now: Ms): PeerShare {
-    const guar = this.planner.guarantees();
+    const guar = this.order.guarantees();
     const machines: PeerMachine[] = [];
     const clearable = this.planner.clearable(share, now);
     for (const m of this.cx.table.machines.values()) {
@@ -273,7 +276,7 @@
         notZones,
       ].join('/');
       const waitS = (now - Math.max(u.job.arrivedAt, u.job.waitsSince)) / 1000;
-      const slackS = Math.max(-1e4, Math.min(1e4, (this.planner.dueOf(u.job, now) - now) / 1000));
+      const slackS = Math.max(-1e4, Math.min(1e4, (this.order.dueOf(u.job, now) - now) / 1000));
       const old = demands.get(key);
       if (old) {
         old.count += u.count;
--- a/packages/core/src/planner.ts
+++ b/packages/core/src/planner.ts
@@ -1,5 +1,6 @@
 import type { Context } from './context.js';
 import { type Job, type Machine, type Ms, type Need, type Placement, SCARCE_AFTER_S, TOP_RANK } from './model.js';
+import type { Guarantees, Order } from './order.js';
 import { allowed, copies, domains, EPS, fits, placeGang, type Room, take, zoneAllows, zoneCounts } from './placement.js';
 import type { Work } from './work.js';
 
@@ -12,9 +13,6 @@
 /** What has no room is planned for again after this long, if nothing else happens. */
 const REPLAN_MS = 600;
 
-/** A gang that has waited for this many plan waits is aged. */
-const AGED_PLAN_WAITS = 6;
-
 /** Places weighed by a plan for which planning pauses a millisecond. */
 const WEIGHED_PER_MS = 25;
 
@@ -33,6 +31,7 @@
   constructor(
     private readonly cx: Context,
     private readonly work: Work,
+    private readonly order: Order,
   ) {}
 
   /**
@@ -71,70 +70,14 @@
     return use;
   }
 
-  /**
-   * Which jobs are within their team's guarantee, and which are protected by it: a team
-   * without a guarantee in what a job uses has nothing to protect it with.
-   */
-  guarantees(): Map<Job, { within: boolean; firm: boolean }> {
-    const out = new Map<Job, { within: boolean; firm: boolean }>();
-    const sums = this.cx.settings.teams.map(() => ({ cpus: 0, gpus: 0 }));
-    const jobs = [...this.cx.table.jobs.values()]
-      .filter((j) => j.state === 'live' && this.work.held.has(j.share))
-      .sort((a, b) => a.stamp - b.stamp);
-    for (const j of jobs) {
-      const t = this.cx.settings.teams[j.team];
-      const s = sums[j.team];
-      if (!t || !s) continue;
-      const left = j.spec.tasks - (j.spec.shape === 'array' ? j.doneCount : 0);
-      s.cpus += j.spec.cpus * left;
-      s.gpus += j.spec.gpus * left;
-      const cpusOk = t.cpus <= 0 || s.cpus <= t.cpus + 1e-6;
-      const gpusOk = t.gpus <= 0 || s.gpus <= t.gpus + 1e-6;
-      const within = cpusOk && gpusOk;
-      const guarded = (t.cpus > 0 && j.spec.cpus > 0) || (t.gpus > 0 && j.spec.gpus > 0);
-      out.set(j, { within, firm: within && guarded });
-    }
-    return out;
-  }
-
-  /**
-   * When the job should start: the next of its class's objectives that can still be kept.
-   * Work that has missed them all comes after what hasn't.
-   */
-  dueOf(j: Job, now: Ms): number {
-    const fetch = j.spec.imageGb * 1000;
-    const run = (j.ranS > 0 ? j.ranS : j.spec.estimateS) * 1000;
-    let due = Number.POSITIVE_INFINITY;
-    let any = false;
-    for (const o of this.cx.settings.objectives) {
-      if (o.cls !== j.spec.cls || o.withinS === null || (o.kind !== 'wait' && o.kind !== 'finished')) continue;
-      any = true;
-      const at = j.arrivedAt + o.withinS * 1000 - (o.kind === 'wait' ? fetch : run + fetch);
-      if (at > now - 1000) due = Math.min(due, at);
-    }
-    if (due < Number.POSITIVE_INFINITY) return due;
-    return j.arrivedAt + (any ? 1e7 : (j.spec.deadlineS ?? 600) * 1000);
-  }
-
   plan(now: Ms): void {
     const rooms: Room[] = [];
     for (const m of this.cx.table.machines.values())
       if (this.work.held.has(m.share) && this.work.usable(m, now)) rooms.push(this.work.roomOf(m));
     const use = this.teamUse();
-    const guar = this.guarantees();
+    const guar = this.order.guarantees();
     let weighed = 0;
-    const queue = [...this.cx.table.jobs.values()]
-      .filter((j) => this.work.held.has(j.share) && j.state === 'live' && j.pendingCount() > 0)
-      .map((j) => ({ j, g: guar.get(j) ?? { within: false, firm: false }, due: this.dueOf(j, now), aged: this.aged(j, now) }))
-      .sort(
-        (a, b) =>
-          b.j.spec.rank - a.j.spec.rank ||
-          Number(b.aged) - Number(a.aged) ||
-          (a.aged ? a.j.stamp - b.j.stamp : 0) ||
-          Number(b.g.within) - Number(a.g.within) ||
-          a.due - b.due ||
-          a.j.stamp - b.j.stamp,
-      );
+    const queue = this.order.queue(guar, now);
     this.work.unmet = [];
     let later = false;
     let open = rooms;
@@ -161,11 +104,6 @@
     this.gather(now);
   }
 
-  /** A gang that has waited for so long goes before all others of its rank. */
-  private aged(j: Job, now: Ms): boolean {
-    return j.spec.shape === 'gang' && now - j.arrivedAt > AGED_PLAN_WAITS * this.cx.settings.policy.planWaitS * 1000;
-  }
-
   /**
    * Free machines that an aged gang could use are kept for it, up to what it lacks: smaller
    * work would take each as it comes free, and the gang would never see enough at once. The
@@ -269,7 +207,7 @@
     // Beside what keeps the machine here anyway, it costs nothing; alone it would keep it.
     if (cpus <= cap.cpus - want.cpus + EPS && this.keptAnyway(r.machine)) return true;
     if (this.gangsWait.has(j.share)) return false;
-    const due = this.dueOf(j, this.work.now) - this.work.now;
+    const due = this.order.dueOf(j, this.work.now) - this.work.now;
     // Half of the run on top: estimates are often wrong by as much.
     const run = (j.ranS > 0 ? j.ranS : j.spec.estimateS) * 1000;
     return due < this.cx.table.bootMs(j) * 1.5 + run / 2 || due > 1e6;
@@ -451,7 +389,7 @@
     within: boolean,
     rooms: Room[],
     use: { cpus: number; gpus: number }[],
-    guar: Map<Job, { within: boolean; firm: boolean }>,
+    guar: Guarantees,
     now: Ms,
   ): number {
     let left = j.pendingCount();
@@ -493,7 +431,7 @@
     return left - unplaceable;
   }
 
-  private bearsFirm(m: Machine, guar: Map<Job, { within: boolean; firm: boolean }>): boolean {
+  private bearsFirm(m: Machine, guar: Guarantees): boolean {
     for (const p of m.placements.values()) if (p.phase !== 'exited' && guar.get(p.job)?.firm) return true;
     return false;
   }
@@ -509,7 +447,7 @@
    * May this placement be stopped for a job of that rank? (DESIGN: above guarantee; PROTOCOL: rank)
    * Work within a guarantee is stopped for a pressing service alone.
    */
-  private victim(p: Placement, j: Job, within: boolean, guar: Map<Job, { within: boolean; firm: boolean }>): boolean {
+  private victim(p: Placement, j: Job, within: boolean, guar: Guarantees): boolean {
     if (p.stop !== null || p.phase === 'exited' || p.job === j) return false;
     const g = guar.get(p.job);
     if (g?.firm && !this.pressing(j)) return false;
@@ -538,14 +476,7 @@
   }
 
   /** The least work to stop on one machine so that a task of the job fits, or null. */
-  private victimsOn(
-    j: Job,
-    within: boolean,
-    r: Room,
-    guar: Map<Job, { within: boolean; firm: boolean }>,
-    now: Ms,
-    count = 1,
-  ): Placement[] | null {
+  private victimsOn(j: Job, within: boolean, r: Room, guar: Guarantees, now: Ms, count = 1): Placement[] | null {
     const need: Need = { cpus: j.spec.cpus * count, gpus: j.spec.gpus * count, memory: j.spec.memory * count };
     const free: Need = { cpus: r.cpus, gpus: r.gpus, memory: r.memory };
     const out: Placement[] = [];
@@ -562,13 +493,7 @@
     return fits(need, free) ? out : null;
   }
 
-  private evictFor(
-    j: Job,
-    within: boolean,
-    rooms: Room[],
-    guar: Map<Job, { within: boolean; firm: boolean }>,
-    now: Ms,
-  ): Room | null {
+  private evictFor(j: Job, within: boolean, rooms: Room[], guar: Guarantees, now: Ms): Room | null {
     let best: { r: Room; v: Placement[]; c: number } | null = null;
     for (const r of rooms) {
       const v = this.victimsOn(j, within, r, guar, now);
@@ -597,7 +522,7 @@
     within: boolean,
     rooms: Room[],
     use: { cpus: number; gpus: number }[],
-    guar: Map<Job, { within: boolean; firm: boolean }>,
+    guar: Guarantees,
     now: Ms,
   ): number {
     const n = j.spec.tasks;
