--- a/packages/core/src/commands.ts
+++ b/packages/core/src/commands.ts
@@ -6,10 +6,19 @@
 import { taskKey, type Work } from './work.js';
 
 /**
- * Machines asked how they stand at once. After a takeover all have to be, and workers'
- * reports, whose leases run, must not wait behind a hundred questions.
+ * Machines asked how they stand at once, by a whole core. After a takeover all have to be, and
+ * workers' reports, whose leases run, must not wait behind a hundred questions.
  */
-const ASKS_PER_TICK = 6;
+const ASKS_PER_TICK = 32;
+
+/**
+ * Who is asked first: what answered so far, then what bears the most urgent work as far as is
+ * heard, then by turns. In the order of their names, a hundred machines of a cut zone were
+ * asked again and again, and 31 live ones, never asked, were given back as silent.
+ */
+function before(a: Machine, b: Machine): number {
+  return Math.min(a.lostCount, 1) - Math.min(b.lostCount, 1) || b.bearsRank - a.bearsRank || a.lastAskAt - b.lastAskAt;
+}
 
 /** Commands to workers: what is sent, and what its outcome means. */
 export class Commands {
@@ -26,15 +35,27 @@
 
   /** To all our machines what each is to be told or asked. */
   flushAll(now: Ms): void {
-    let asks = ASKS_PER_TICK;
+    const ask: Machine[] = [];
     for (const m of this.cx.table.machines.values()) {
       if (!this.work.held.has(m.share)) continue;
       if (m.inflight !== 0 || m.giveBack !== '' || m.addr === '' || now < m.retryAt || m.dirty || m.bumping) continue;
       // Silent, not answering, or odd: ask, rather than wait for the next report.
       const odd = now - m.heardAt > this.cx.settings.workers.reportS * 2000 || m.lostCount > 0 || m.ask;
       if (m.resolved && !odd) this.flush(m, now);
-      else if (asks-- > 0) this.send(m, [], [], true);
+      else ask.push(m);
+    }
+    const room = Math.max(2, Math.round(ASKS_PER_TICK * this.cx.settings.cpuShare));
+    if (ask.length > room) ask.sort(before);
+    for (const m of ask.slice(0, room)) this.askMachine(m, now);
+  }
+
+  private askMachine(m: Machine, now: Ms): void {
+    // Its silence counts from the first question: until then nothing was asked of it.
+    if (!m.probed) {
+      m.probed = true;
+      m.heardAt = now;
     }
+    this.send(m, [], [], true);
   }
 
   private flush(m: Machine, now: Ms): void {
@@ -94,6 +115,7 @@
     for (const p of sent) p.phase = 'sent';
     m.inflight = id;
     m.ask = false;
+    if (probe) m.lastAskAt = this.work.now;
     this.sent.set(id, { machine: m, sent, probe, seen: { session: m.session, seq: m.seq } });
     this.cx.emit({
       t: 'command',
--- a/packages/core/src/context.ts
+++ b/packages/core/src/context.ts
@@ -32,6 +32,8 @@
   afterBarrier(now: Ms, run: (now: Ms) => void, until?: Ms, late?: () => void): void;
   gained(holding: string, stamp: number): void;
   lost(holding: string): void;
+  /** do all machines of a share held here answer, and is the most urgent work placed? */
+  settled(share: number): boolean;
   planSoon(): void;
   /** can more machines of this type be had, as far as is known? */
   plenty(type: string): boolean;
--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -132,6 +132,10 @@
     return this.owner.fleet.reach;
   }
 
+  settled(share: number): boolean {
+    return this.owner.settled(share);
+  }
+
   planSoon(): void {
     this.owner.planSoon();
   }
--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -35,6 +35,8 @@
     for (const m of this.cx.table.machines.values()) {
       if (!this.work.held.has(m.share)) continue;
       const z = zones.get(m.zone) ?? { all: 0, heard: 0, lost: 0 };
+      // What was not asked yet after a takeover says nothing of its zone.
+      if (!m.resolved && !m.probed) continue;
       z.all++;
       if (m.lostCount >= 2) z.lost++;
       if (now - m.heardAt < 4000) z.heard++;
@@ -49,7 +51,7 @@
     const back: Machine[] = [];
     for (const m of this.cx.table.machines.values()) {
       if (!this.work.held.has(m.share)) continue;
-      const silent = now - m.heardAt;
+      const silent = m.resolved || m.probed ? now - m.heardAt : 0;
       // Once its notice is over a silent machine is most likely taken.
       const taken = m.noticeUntil > 0 && now > m.noticeUntil && silent > this.cx.settings.workers.reportS * 1500;
       if ((silent > silentMs || taken) && !m.giveBack && !this.heardElsewhere(m, now)) {
@@ -200,7 +202,12 @@
   private giveUp(m: Machine, why: string): void {
     m.giveBack = why;
     m.returnAt = 0;
-    this.cx.log('info', 'giving machine back', { machine: m.name, why, tasks: m.placements.size });
+    this.cx.log('info', 'giving machine back', {
+      machine: m.name,
+      zone: this.cx.table.zoneNames.name(m.zone),
+      why,
+      tasks: m.placements.size,
+    });
   }
 
   private handOver(m: Machine): void {
@@ -247,6 +254,7 @@
         if (o === 'ok') {
           m.dirty = false;
           m.resolved = false;
+          m.probed = false;
         }
       },
     });
--- a/packages/core/src/holdings.ts
+++ b/packages/core/src/holdings.ts
@@ -2,6 +2,9 @@
 import type { Ms } from './model.js';
 import { KEY } from './table.js';
 
+/** A share that doesn't come to rest goes home after this long all the same. */
+const UNSETTLED_MS = 60_000;
+
 /**
  * Who holds which share, and the lead. A key per holding names its holder and is attached
  * to the holder's state lease: it disappears when the lease does. Each restart writes its
@@ -133,7 +136,9 @@
       }
       const since = this.homeSeen.get(home) ?? now;
       this.homeSeen.set(home, since);
-      if (now - since < 4000) continue;
+      // A change of holder stops starts until all machines have answered anew: not while a share
+      // is still finding its feet, after a cut say, unless that takes for ever.
+      if (now - since < (cx.settled(Number(name)) ? 4000 : UNSETTLED_MS)) continue;
       cx.log('info', 'handing share home', { share: name, to: home });
       this.release(name, now);
       return;
--- a/packages/core/src/model.ts
+++ b/packages/core/src/model.ts
@@ -43,6 +43,8 @@
   teams: Team[];
   objectives: Objective[];
   workers: { reportS: number; leaseS: number; gangWaitS: number; gangPeerS: number; cancelS: number };
+  /** what of a processor core this controller has */
+  cpuShare: number;
   state: { rps: number; writeRps: number; valueKb: number; txnOps: number };
   cloud: { rps: number; listLagS: number };
   policy: Policy;
@@ -209,6 +211,11 @@
   seq = -1;
   /** answered our token since we took the share over: its report is all there is on it */
   resolved = false;
+  /** asked since we took the share over */
+  probed = false;
+  lastAskAt: Ms = -1e12;
+  /** highest rank of what its reports name while it isn't resolved: says who to ask first, no more */
+  bearsRank = -1;
   /** may bear work of an earlier holder that we don't know of */
   suspect = false;
   /** a command's fate is unknown: its token must rise before it is used again */
--- a/packages/core/src/owner.ts
+++ b/packages/core/src/owner.ts
@@ -40,6 +40,11 @@
     return this.work.held;
   }
 
+  settled(share: number): boolean {
+    for (const m of this.cx.table.machines.values()) if (m.share === share && m.suspect) return false;
+    return !this.work.unmet.some((u) => u.job.share === share && u.job.spec.rank === TOP_RANK);
+  }
+
   planSoon(): void {
     this.work.wantPlan = true;
   }
@@ -75,6 +80,8 @@
     m.placements.clear();
     m.strays = [];
     m.resolved = false;
+    m.probed = false;
+    m.bearsRank = -1;
     m.dirty = false;
     m.bumping = false;
     m.inflight = 0;
--- a/packages/core/src/reports.ts
+++ b/packages/core/src/reports.ts
@@ -32,6 +32,8 @@
     } else if (asked === null && !m.resolved) {
       // Which session to ask is all that can be learned from it.
       if (r.session > m.session) m.session = r.session;
+      // ... and, for what it is worth, how urgent its answer is.
+      for (const t of r.tasks) m.bearsRank = Math.max(m.bearsRank, this.cx.table.jobs.get(t.job)?.spec.rank ?? -1);
       return;
     } else if (older(m)) {
       // A late copy, or a machine that began again: its answer will tell.
--- a/packages/server/src/settings.ts
+++ b/packages/server/src/settings.ts
@@ -144,6 +144,7 @@
         gangPeerS: w.gang_peer_s,
         cancelS: w.cancel_s,
       },
+      cpuShare: s.params.machine_limits.cpu_share,
       state: {
         rps: s.params.state.rps,
         writeRps: s.params.state.write_rps,
