--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -8,7 +8,7 @@
 import { Owner } from './owner.js';
 import { Replica } from './replica.js';
 import { KEY, Table } from './table.js';
-import { Writer } from './writer.js';
+import { URGENCY, Writer } from './writer.js';
 
 /** How long a peer's silence is borne before its link counts as down. */
 const PEER_SILENT_MS = 3500;
@@ -401,7 +401,14 @@
     const known = this.replica.get(KEY.types);
     this.table.setTypes(list);
     if (!known && this.replica.loaded) {
-      this.writer.add({ key: KEY.types, value: () => list, guard: 0, urgency: 3, until: now + 10_000, done: () => {} });
+      this.writer.add({
+        key: KEY.types,
+        value: () => list,
+        guard: 0,
+        urgency: URGENCY.progress,
+        until: now + 10_000,
+        done: () => {},
+      });
     }
     this.after(now);
   }
@@ -477,7 +484,7 @@
       key,
       value: () => status,
       guard: this.replica.get(key)?.stamp ?? 0,
-      urgency: 3,
+      urgency: URGENCY.progress,
       until: now + 2000,
       done: () => {
         this.telling = false;
--- a/packages/core/src/desk.ts
+++ b/packages/core/src/desk.ts
@@ -3,6 +3,7 @@
 import type { Job, Ms } from './model.js';
 import { copies } from './placement.js';
 import { type JobRecord, KEY } from './table.js';
+import { URGENCY } from './writer.js';
 
 /** Users wait 5 s for an answer to a submission and 2 s for one to a poll. */
 const SUBMIT_MS = 4000;
@@ -60,7 +61,7 @@
       key: KEY.job(spec.id),
       value: () => record,
       guard: 0,
-      urgency: 2,
+      urgency: URGENCY.accept,
       until: now + SUBMIT_MS,
       done: (outcome) => {
         if (over) return;
@@ -184,7 +185,7 @@
       key: KEY.job(job),
       value: () => ({ ...record, s: 2 }),
       guard: entry.stamp,
-      urgency: 1,
+      urgency: URGENCY.cancel,
       until,
       done: (outcome) => {
         if (over) return;
--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -2,6 +2,7 @@
 import type { Machine, Ms } from './model.js';
 import { KEY } from './table.js';
 import type { Work } from './work.js';
+import { URGENCY } from './writer.js';
 
 /** What is seen of a zone's machines that are ours. */
 interface ZoneView {
@@ -219,7 +220,7 @@
       value: () => ({ ...this.cx.table.grantOf(m), s: to }),
       guard: m.grantStamp,
       also: this.work.also(m.share),
-      urgency: 1,
+      urgency: URGENCY.grant,
       done: (o) => {
         m.grantQueued = false;
         if (o === 'ok') this.cx.log('debug', 'machine handed over', { machine: m.name, to });
@@ -247,7 +248,7 @@
       },
       guard: m.grantStamp,
       also: this.work.also(m.share),
-      urgency: 2,
+      urgency: URGENCY.release,
       done: (o) => {
         m.grantQueued = false;
         m.bumping = false;
@@ -285,7 +286,7 @@
         key: cache,
         value: () => undefined,
         guard: kept.stamp,
-        urgency: 4,
+        urgency: URGENCY.images,
         until: this.work.now + 15_000,
         done: () => {},
       });
@@ -294,7 +295,7 @@
       value: () => undefined,
       guard: m.grantStamp,
       also: this.work.also(m.share),
-      urgency: 2,
+      urgency: URGENCY.release,
       done: (o) => {
         if (o !== 'ok' && this.cx.table.machines.get(m.name) === m && this.work.held.has(m.share)) this.dropGrant(m);
       },
--- a/packages/core/src/holdings.ts
+++ b/packages/core/src/holdings.ts
@@ -1,6 +1,7 @@
 import type { Context } from './context.js';
 import type { Ms } from './model.js';
 import { KEY } from './table.js';
+import { URGENCY } from './writer.js';
 
 /** A share that doesn't come to rest goes home after this long all the same. */
 const UNSETTLED_MS = 60_000;
@@ -102,7 +103,7 @@
       value: () => ({ boot: this.cx.boot }),
       guard: cur?.stamp ?? 0,
       leased: true,
-      urgency: 2,
+      urgency: URGENCY.release,
       until: now + 5000,
       done: () => this.writing.delete(key),
     });
@@ -117,7 +118,7 @@
       value: () => ({ node: cx.settings.node, boot: cx.boot }),
       guard,
       leased: true,
-      urgency: 0,
+      urgency: URGENCY.holding,
       until: now + 5000,
       done: () => this.writing.delete(name),
     });
@@ -151,7 +152,7 @@
       key: KEY.holding(Number(name)),
       value: () => undefined,
       guard: this.mine.get(name) ?? 0,
-      urgency: 0,
+      urgency: URGENCY.holding,
       until: now + 5000,
       done: (o) => {
         if (o !== 'ok') this.releasing.delete(name);
--- a/packages/core/src/lead.ts
+++ b/packages/core/src/lead.ts
@@ -4,6 +4,7 @@
 import type { Owner } from './owner.js';
 import { copies } from './placement.js';
 import { KEY } from './table.js';
+import { URGENCY } from './writer.js';
 
 export interface Stranger {
   machine: string;
@@ -13,6 +14,17 @@
   spot: boolean;
 }
 
+/** Machines of one kind that are to be rented. */
+interface Purchase {
+  type: string;
+  zone: string;
+  spot: boolean;
+  count: number;
+}
+
+/** Rentals under way at once. */
+const BOOKINGS = 3;
+
 interface Booking {
   type: string;
   zone: string;
@@ -206,7 +218,7 @@
         value: () => ({ s: share, a: s.addr, t: s.type, z: s.zone, sp: s.spot }),
         guard: 0,
         also: [{ key: KEY.holding('lead'), stamp: this.stamp }],
-        urgency: 1,
+        urgency: URGENCY.grant,
         until: now + 8000,
         done: () => {
           this.granting.delete(s.machine);
@@ -390,7 +402,7 @@
       value: () => ({ ...this.cx.table.grantOf(m), mv: share }),
       guard: m.grantStamp,
       also: [{ key: KEY.holding('lead'), stamp: this.stamp }],
-      urgency: 1,
+      urgency: URGENCY.grant,
       until: now + 4000,
       done: (o) => {
         if (o !== 'ok') this.moves.delete(m.name);
@@ -434,20 +446,23 @@
   private rent(shares: Map<number, PeerShare>, now: Ms): void {
     // A new lead doesn't know what the last one rented: the list will tell.
     if (now - this.since < 2000 * this.cx.settings.cloud.listLagS + 2000 && this.takenOver) return;
-    if (now < this.nextRentAt || this.bookings.size >= 3) return;
+    if (now < this.nextRentAt) return;
     const { settings, table } = this.cx;
-    const held = table.machines.size + this.onTheWay(now).length;
     const max = settings.policy.maxMachines;
-    if (max !== null && held >= max) return;
-    const want = settings.policy.hold ? this.wantToHold(shares, now) : this.wantByNeed(shares, now);
-    if (!want) return;
-    const count = Math.max(1, Math.min(want.count, 50, max === null ? 50 : max - held));
-    const id = this.cx.nextId();
-    const request = `r-${this.stamp}-${++this.counter}`;
-    this.bookings.set(id, { ...want, count, at: now });
-    this.cx.log('info', 'renting', { request, ...want, count });
-    this.cx.emit({ t: 'rent', id, rental: { request, type: want.type, zone: want.zone, spot: want.spot, count } });
-    this.nextRentAt = now + Math.max(300, 1000 / settings.cloud.rps);
+    let held = table.machines.size + this.onTheWay(now).length;
+    // What a wave of losses took is asked for at once, kind by kind: a round each would add
+    // seconds to the boot time that everybody waits for.
+    for (const want of settings.policy.hold ? this.wantToHold(shares, now) : this.wantByNeed(shares, now)) {
+      if (this.bookings.size >= BOOKINGS || (max !== null && held >= max)) return;
+      const count = Math.max(1, Math.min(want.count, 50, max === null ? 50 : max - held));
+      held += count;
+      const id = this.cx.nextId();
+      const request = `r-${this.stamp}-${++this.counter}`;
+      this.bookings.set(id, { ...want, count, at: now });
+      this.cx.log('info', 'renting', { request, ...want, count });
+      this.cx.emit({ t: 'rent', id, rental: { request, type: want.type, zone: want.zone, spot: want.spot, count } });
+      this.nextRentAt = now + Math.max(300, 1000 / settings.cloud.rps);
+    }
   }
 
   private options(): { type: MachineType; zone: string; spot: boolean }[] {
@@ -462,10 +477,7 @@
   }
 
   /** No price among the objectives: hold spare room of every kind that is used. */
-  private wantToHold(
-    shares: Map<number, PeerShare>,
-    now: Ms,
-  ): { type: string; zone: string; spot: boolean; count: number } | null {
+  private wantToHold(shares: Map<number, PeerShare>, now: Ms): Purchase[] {
     const room = new Map<string, { all: number; free: number }>();
     for (const s of shares.values()) {
       for (const p of s.machines) {
@@ -479,7 +491,7 @@
     }
     const unmet = [...shares.values()].flatMap((s) => s.demands);
     const coming = this.onTheWay(now);
-    let best: { type: string; zone: string; spot: boolean; count: number; score: number } | null = null;
+    let best: (Purchase & { score: number }) | null = null;
     for (const o of this.options()) {
       const mk = this.market(o.type.name, o.zone, o.spot);
       if (now < mk.notBefore) continue;
@@ -494,14 +506,11 @@
       const score = asked.length * 10 - zoneCount - (o.spot ? 1 : 0);
       if (!best || score > best.score) best = { type: o.type.name, zone: o.zone, spot: o.spot, count: 4, score };
     }
-    return best;
+    return best ? [{ type: best.type, zone: best.zone, spot: best.spot, count: best.count }] : [];
   }
 
   /** Money is an objective: rent for what waits, the cheapest kind per task. */
-  private wantByNeed(
-    shares: Map<number, PeerShare>,
-    now: Ms,
-  ): { type: string; zone: string; spot: boolean; count: number } | null {
+  private wantByNeed(shares: Map<number, PeerShare>, now: Ms): Purchase[] {
     const coming: { c: { type: string; zone: string; spot: boolean; idle?: boolean }; t: MachineType | null }[] = [
       ...this.onTheWay(now),
       ...this.freshGrants(now),
@@ -520,7 +529,7 @@
     const wants = [...shares.values()].flatMap((s) => s.demands).sort((a, b) => b.rank - a.rank || b.waitS - a.waitS);
     const cheapest = Math.min(...this.options().map((o) => (o.spot ? Number.POSITIVE_INFINITY : o.type.price / o.type.cpus)));
     // All wants are fitted, on paper, into what is coming and what would be rented for them.
-    const buy = new Map<string, { type: string; zone: string; spot: boolean; count: number }>();
+    const buy = new Map<string, Purchase>();
     const inZone = new Map<string, number>();
     for (const m of this.cx.table.machines.values()) {
       const z = this.cx.table.zoneNames.name(m.zone);
@@ -555,7 +564,7 @@
         fill();
       }
     }
-    return buy.values().next().value ?? null;
+    return [...buy.values()];
   }
 
   /** The kind of machine that serves most of these tasks for the money, if any is worth it. */
@@ -664,7 +673,7 @@
           value: () => ({ ...this.cx.table.grantOf(m), x: true }),
           guard: m.grantStamp,
           also: [{ key: KEY.holding('lead'), stamp: this.stamp }],
-          urgency: 3,
+          urgency: URGENCY.progress,
           until: now + 4000,
           done: () => {},
         });
--- a/packages/core/src/records.ts
+++ b/packages/core/src/records.ts
@@ -2,6 +2,7 @@
 import type { Job, Machine, Ms } from './model.js';
 import { KEY, packBits } from './table.js';
 import type { Work } from './work.js';
+import { URGENCY } from './writer.js';
 
 /** A machine's images are stored this long after one has come: others may follow. */
 const IMAGES_DELAY_MS = 15_000;
@@ -40,7 +41,7 @@
       key,
       value: () => this.cx.table.imagesOf(m),
       guard: this.cx.replica.get(key)?.stamp ?? 0,
-      urgency: 4,
+      urgency: URGENCY.images,
       until: this.work.now + 5_000,
       done: () => {
         m.cacheQueued = false;
@@ -59,7 +60,7 @@
         value: () => ({ s: 1, t: j.wall, n: j.spec.tasks }),
         guard: j.stamp,
         also: this.work.also(j.share),
-        urgency: 1,
+        urgency: URGENCY.grant,
         done: () => {
           j.finishQueued = false;
           this.work.wantPlan = true;
@@ -87,7 +88,7 @@
         },
         guard: this.cx.replica.get(key)?.stamp ?? 0,
         also: this.work.also(j.share),
-        urgency: 3,
+        urgency: URGENCY.progress,
         done: (o) => {
           j.progressQueued = false;
           if (o === 'ok') for (let i = 0; i < snap.length; i++) if (snap[i]) j.stored[k * size + i] = 1;
--- a/packages/core/src/writer.ts
+++ b/packages/core/src/writer.ts
@@ -2,6 +2,25 @@
 import type { Effect, Ms } from './model.js';
 import type { Replica } from './replica.js';
 
+/**
+ * Which writes go first. Users' answers wait for what they asked for, so neither may stand
+ * behind a hundred grants; acceptances take half of a transaction at most while others wait.
+ */
+export const URGENCY = {
+  holding: 0,
+  cancel: 1,
+  accept: 2,
+  /** grants, moves, and jobs that are done */
+  grant: 3,
+  /** tokens to raise, grants to drop, a controller's presence: like grants once they have waited */
+  release: 4,
+  progress: 5,
+  images: 6,
+} as const;
+
+/** After this long a release counts as a grant. */
+const RELEASE_MS = 300;
+
 export interface PendingWrite {
   key: string;
   /** evaluated when sent; undefined removes the key */
@@ -94,8 +113,11 @@
     if (now - this.sweptAt >= 100) this.sweep(now);
     if (now < this.pauseUntil) return;
     while (this.queue.length > 0 && this.inflight.size < 3 && this.budget >= 1) {
-      const before = (w: Queued) => (w.urgency > 1 && w.urgency <= 2 && now - w.at > 300 ? 1 : w.urgency);
+      const before = (w: Queued) => (w.urgency === URGENCY.release && now - w.at > RELEASE_MS ? URGENCY.grant : w.urgency);
       this.queue.sort((a, b) => before(a) - before(b) || a.at - b.at);
+      const room = Math.min(this.limits.txnOps, this.budget);
+      const others = this.queue.some((w) => w.urgency === URGENCY.grant || w.urgency === URGENCY.release);
+      let accepts = others ? Math.max(1, Math.floor(room / 2)) : room;
       const batch: Queued[] = [];
       const rest: Queued[] = [];
       const keys = new Set<string>();
@@ -104,7 +126,8 @@
       for (const w of this.queue) {
         const wanted = [{ key: w.key, stamp: w.guard }, ...(w.also ?? [])];
         const fits =
-          batch.length < Math.min(this.limits.txnOps, this.budget) &&
+          batch.length < room &&
+          !(w.urgency === URGENCY.accept && accepts < 1) &&
           !keys.has(w.key) &&
           !this.busy.has(w.key) &&
           bytes < 40_000 &&
@@ -115,6 +138,7 @@
           rest.push(w);
           continue;
         }
+        if (w.urgency === URGENCY.accept) accepts--;
         w.sentValue = w.value();
         bytes += w.sentValue === undefined ? 0 : JSON.stringify(w.sentValue).length;
         keys.add(w.key);
--- a/test/edges.test.ts
+++ b/test/edges.test.ts
@@ -4,7 +4,7 @@
 import { join } from 'node:path';
 import { test } from 'node:test';
 import { Api } from '@archpost/api';
-import { Job, Machine, placeGang, Replica, type Room, Writer } from '@archpost/core';
+import { Job, Machine, placeGang, Replica, type Room, URGENCY, Writer } from '@archpost/core';
 import { decodePeer, encodePeer, PATHS, pack, parseChanges, parseSubmission } from '@archpost/wire';
 import { Inbox } from '../packages/server/src/inbox.js';
 import { loadSettings, SettingsError } from '../packages/server/src/settings.js';
@@ -204,7 +204,7 @@
     (now, run) => run(now),
     () => {},
   );
-  writer.add({ key: 'a/x', value: () => ({ v: 1 }), guard: 0, urgency: 1, done: (o) => outcomes.push(o) });
+  writer.add({ key: 'a/x', value: () => ({ v: 1 }), guard: 0, urgency: URGENCY.grant, done: (o) => outcomes.push(o) });
   writer.flush(0);
   writer.result(sent[0] as number, { kind: 'unknown' }, 1500);
   writer.flush(2000);
@@ -215,6 +215,33 @@
   assert.deepEqual(outcomes, ['ok']);
 });
 
+test('cancellations and acceptances do not stand behind a hundred grants, nor grants behind acceptances', () => {
+  const sent: string[][] = [];
+  let now = 0;
+  const writer = new Writer(
+    { writesPerS: 12, txnOps: 12 },
+    new Replica(() => {}),
+    (e) => {
+      if (e.t === 'txn') sent.push(e.writes.map((w) => ('put' in w ? w.put : w.del).slice(2, 3)));
+    },
+    () => null,
+    (_now, run) => run(now),
+    () => {},
+  );
+  const add = (kind: string, n: number, urgency: number) => {
+    for (let i = 0; i < n; i++) writer.add({ key: `a/${kind}/${i}`, value: () => 1, guard: 0, urgency, done: () => {} });
+  };
+  add('g', 100, URGENCY.grant);
+  now = 500;
+  writer.flush(now);
+  add('j', 40, URGENCY.accept);
+  add('c', 1, URGENCY.cancel);
+  now = 1500;
+  writer.flush(now);
+  const count = (kind: string) => sent[1]?.filter((k) => k === kind).length;
+  assert.deepEqual([count('c'), count('j'), count('g')], [1, 6, 5]);
+});
+
 test('at the door: reports pass by, users are refused at once when more is asked than can be done', async () => {
   let behind = false;
   const seen: string[] = [];
