--- a/packages/core/src/desk.ts
+++ b/packages/core/src/desk.ts
@@ -9,6 +9,9 @@
 const SUBMIT_MS = 4000;
 const POLL_MS = 1700;
 
+/** Bytes of a value left to what the record gets later, and to how the service counts. */
+const RECORD_SPARE = 256;
+
 /** Users' requests, at any controller. */
 export class Desk {
   private open = 0;
@@ -24,9 +27,12 @@
     this.answer(id, 503, { error: why }, 1);
   }
 
-  /** More requests than this wait already: one more would only make all of them late. */
+  /**
+   * So many wait already that one more would only make all of them late, or that connections
+   * which workers need would go to users.
+   */
   private crowded(): boolean {
-    return this.open > 200 || this.cx.writer.length > 6 * this.cx.settings.state.writeRps;
+    return this.open > this.cx.settings.sockets / 8 || this.cx.writer.length > 6 * this.cx.settings.state.writeRps;
   }
 
   submit(id: number, body: Record<string, unknown> | null, now: Ms, wall: number): void {
@@ -55,8 +61,11 @@
       return;
     }
     if (this.crowded()) return this.busy(id, 'overloaded');
-    let over = false;
     const record: JobRecord = { s: 0, t: wall, sp: spec };
+    // The state service would refuse it, and all that is written with it.
+    if (Buffer.byteLength(JSON.stringify(record)) > this.cx.settings.state.valueKb * 1024 - RECORD_SPARE)
+      return this.answer(id, 400, { error: 'its names are too long to be stored' });
+    let over = false;
     this.cx.writer.add({
       key: KEY.job(spec.id),
       value: () => record,
--- a/packages/core/src/model.ts
+++ b/packages/core/src/model.ts
@@ -45,6 +45,8 @@
   workers: { reportS: number; leaseS: number; gangWaitS: number; gangPeerS: number; cancelS: number };
   /** what of a processor core this controller has */
   cpuShare: number;
+  /** connections that it may have open */
+  sockets: number;
   state: { rps: number; writeRps: number; valueKb: number; txnOps: number };
   cloud: { rps: number; listLagS: number };
   policy: Policy;
--- a/packages/server/src/settings.ts
+++ b/packages/server/src/settings.ts
@@ -1,5 +1,6 @@
 import { readFileSync } from 'node:fs';
 import type { CoreSettings, Policy } from '@archpost/core';
+import { STATE_SOCKETS, WATCH_S } from '@archpost/store';
 import { parse } from 'smol-toml';
 import { z } from 'zod';
 
@@ -99,9 +100,46 @@
   }
 }
 
+/** What of a limit has to be there for a controller to run at all; the reason is what it is for. */
+function enough(path: string, field: string, have: number, need: number, what: string): void {
+  if (have < need) throw new SettingsError(`${path}: params.${field}: ${have} is too little: ${what} takes ${need}`);
+}
+
+/**
+ * Settings under which rules could not be kept, or nothing could be served, are refused here
+ * rather than found out by users.
+ */
+function refuseHopeless(path: string, s: z.infer<typeof file>): void {
+  const nodes = s.others.length + 1;
+  const w = s.params.workers;
+  // Workers are answered for what this leaves after the last reading of all changes: no less
+  // than the time between two readings (docs/design.md, "Who may answer workers").
+  const least = w.lease_s + w.report_s + WATCH_S;
+  if (w.cancel_s <= least)
+    throw new SettingsError(
+      `${path}: params.workers.cancel_s: must exceed lease_s + report_s by more than ${WATCH_S} s (${least}), but is ${w.cancel_s}`,
+    );
+  const { max_sockets, mem_mb } = s.params.machine_limits;
+  enough(path, 'state.write_rps', s.params.state.write_rps, nodes, 'a change a second for each controller');
+  enough(path, 'state.rps', s.params.state.rps, 4 * nodes, 'lease, watch and a transaction a second for each controller');
+  enough(path, 'state.value_kb', s.params.state.value_kb, 2, 'the record of a job');
+  enough(path, 'machine_limits.mem_mb', mem_mb, LEAST_MB, 'the process without any work');
+  enough(
+    path,
+    'machine_limits.max_sockets',
+    max_sockets,
+    STATE_SOCKETS + 4 * nodes + 64,
+    'the state service, the other controllers and a few workers and users',
+  );
+}
+
+/** Measured at a start on simulated machines, without work: 66 MB. */
+const LEAST_MB = 80;
+
 export function loadSettings(path: string, operatorPath: string | null): Settings {
   const s = check(path, file, parseToml(path));
   const o = check(operatorPath ?? 'operator settings', operator, operatorPath === null ? {} : parseOperator(operatorPath));
+  refuseHopeless(path, s);
   const names = [s.host_name, ...s.others.map((x) => x.host_name)];
   if (new Set(names).size !== names.length) throw new SettingsError(`${path}: others: host_name given twice`);
   const policy: Policy = {
@@ -145,6 +183,7 @@
         cancelS: w.cancel_s,
       },
       cpuShare: s.params.machine_limits.cpu_share,
+      sockets: s.params.machine_limits.max_sockets,
       state: {
         rps: s.params.state.rps,
         writeRps: s.params.state.write_rps,
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -28,7 +28,11 @@
 }
 
 /** A wait this long bounds how old the copy can be when nothing changes. */
-const WATCH_MS = 2500;
+export const WATCH_S = 2.5;
+const WATCH_MS = WATCH_S * 1000;
+
+/** Connections to the state service: watch, barrier, lease, transactions, and calls that hang. */
+export const STATE_SOCKETS = 16;
 
 /** The state service: one lease, one copy of our keys kept up by a watch, transactions. */
 export class StateStore {
@@ -50,7 +54,7 @@
     private readonly ttlMs: number,
     private readonly driftShare: number,
   ) {
-    this.client = new Client(addr, 16);
+    this.client = new Client(addr, STATE_SOCKETS);
     this.budget = new Budget(rps, steady);
     // Watch, barriers and writes share the budget: a third of it for re-opening the watch.
     this.pauseMs = Math.max(40, Math.min(250, 3000 / rps));
--- a/test/edges.test.ts
+++ b/test/edges.test.ts
@@ -65,6 +65,19 @@
   assert.throws(() => loadSettings('/nowhere/settings.toml', null), /no such file/);
 });
 
+test('settings under which rules could not be kept, or nothing be served, are refused by the field', () => {
+  const refused = (from: string, to: string, named: RegExp) =>
+    assert.throws(
+      () => loadSettings(file(SETTINGS.replace(from, to)), null),
+      (e) => e instanceof SettingsError && named.test(e.message) && !e.message.includes('\n'),
+    );
+  refused('cancel_s = 37.0', 'cancel_s = 16.5', /params\.workers\.cancel_s: .*2\.5 s/);
+  refused('write_rps = 20.0', 'write_rps = 0.5', /params\.state\.write_rps/);
+  refused('mem_mb = 178.0', 'mem_mb = 32.0', /params\.machine_limits\.mem_mb/);
+  refused('max_sockets = 1200', 'max_sockets = 40', /params\.machine_limits\.max_sockets/);
+  assert.equal(loadSettings(file(SETTINGS.replace('cancel_s = 37.0', 'cancel_s = 17.0')), null).core.workers.cancelS, 17);
+});
+
 test('overload: reports first, then decisions, then users, and users who waited too long are refused', async () => {
   let now = 0;
   const seen: string[] = [];
--- a/test/safety.test.ts
+++ b/test/safety.test.ts
@@ -292,3 +292,21 @@
   }
   assert.equal(c.running('run-big'), 2, `not begun in ${(c.now - since) / 1000} s`);
 });
+
+test('a job too large for a value of the state service is refused, and costs nobody else anything', () => {
+  const c = cluster();
+  let said = 0;
+  const types = Array.from({ length: 64 }, (_, i) => `small${'x'.repeat(110)}${i}`);
+  c.nodes[0]?.submit(job('run-huge', { types: ['small', ...types.slice(1)], image: 'i'.repeat(120) }), (status) => {
+    said = status;
+  });
+  c.run(1);
+  assert.equal(said, 400);
+  const before = c.nodes.map((n) => n.core.table.holder(0)?.stamp);
+  c.submit(job('run-after', { estimateS: 2 }));
+  c.until('done', () => c.finished.has('run-after/0'), 20);
+  assert.deepEqual(
+    c.nodes.map((n) => n.core.table.holder(0)?.stamp),
+    before,
+  );
+});
--- a/test/stand-ins.ts
+++ b/test/stand-ins.ts
@@ -48,7 +48,8 @@
     objectives: [{ kind: 'wait', cls: 'serve', withinS: 5, afterS: null, share: 0.95, most: null }],
     workers: { reportS: 2, leaseS: 12, gangWaitS: 40, gangPeerS: 4, cancelS: 36 },
     cpuShare: 0.2,
-    state: { rps: 100, writeRps: 60, valueKb: 16, txnOps: 12 },
+    sockets: 1000,
+    state: { rps: 100, writeRps: 60, valueKb: 8, txnOps: 12 },
     cloud: { rps: 6, listLagS: 5 },
     policy: { planWaitS: 10, silentS: 7, hold: true, idleS: 20, maxMachines: 0 },
   };
