--- a/packages/core/src/lead.ts
+++ b/packages/core/src/lead.ts
@@ -598,13 +598,22 @@
     } else if (r.kind === 'full') {
       mk.refusals++;
       mk.filled = false;
-      mk.notBefore = now + Math.min(90_000, 10_000 * 2 ** Math.min(4, mk.refusals));
+      mk.notBefore = now + Math.min(this.longestPause(), 10_000 * 2 ** Math.min(4, mk.refusals));
     } else {
       // It may have been carried out: what came of it shows in the list.
       mk.notBefore = now + 2000 * this.cx.settings.cloud.listLagS + 3000;
     }
   }
 
+  /**
+   * Kinds that are sold out are asked for again as often as a quarter of the cloud's limit
+   * allows: machines that others gave up, or that died, come back unannounced. At 90 s each,
+   * four accelerator machines stayed unrented for a minute while 29 gangs waited.
+   */
+  private longestPause(): Ms {
+    return Math.max(10_000, Math.min(90_000, (this.options().length * 4000) / this.cx.settings.cloud.rps));
+  }
+
   /** Machines that never come up, or that failed and nobody has been granted, go back. */
   private tidy(now: Ms): void {
     if (this.returns.size > 0) return;
