--- a/test/stand-ins.ts
+++ b/test/stand-ins.ts
@@ -3,7 +3,17 @@
 import assert from 'node:assert/strict';
 import { mkdirSync, readFileSync, writeFileSync } from 'node:fs';
 import { Core, type CoreSettings, type Effect } from '@archpost/core';
-import type { Change, Command, JobSpec, MachineType, PeerStatus, Report, Row, TaskReport } from '@archpost/wire';
+import {
+  type Change,
+  type Command,
+  encodePeer,
+  type JobSpec,
+  type MachineType,
+  type PeerStatus,
+  type Report,
+  type Row,
+  type TaskReport,
+} from '@archpost/wire';
 
 export const TYPES: MachineType[] = [
   {
@@ -345,6 +355,7 @@
   private boots = 0;
   private answers = new Map<number, (status: number, body: Record<string, unknown>) => void>();
   private nextAnswer = 1;
+  private asked = 0;
 
   constructor(
     readonly cluster: Cluster,
@@ -368,6 +379,7 @@
     this.renewAt = 0;
     this.loadedAt = -1;
     this.answers.clear();
+    this.asked = 0;
     this.up = true;
     this.cluster.note(`${this.name} restarts`);
   }
@@ -439,24 +451,38 @@
       this.answers.delete(e.id);
       then?.(e.status, e.body as Record<string, unknown>);
     } else if (e.t === 'txn') {
+      for (const w of e.writes) {
+        const kind = ('put' in w ? w.put : w.del).slice(2, 3);
+        cluster.changes.set(kind, (cluster.changes.get(kind) ?? 0) + 1);
+      }
       if (cluster.stateDown || this.refused) return later(20, () => core.txnResult(e.id, { kind: 'refused' }, cluster.now));
       const apply = () => cluster.state.txn(e);
       if (cluster.loseTxn?.(e, apply)) return later(1500, () => core.txnResult(e.id, { kind: 'unknown' }, cluster.now));
       const r = apply();
       later(10, () => core.txnResult(e.id, r, cluster.now));
     } else if (e.t === 'command') {
+      this.asked++;
+      cluster.mostAsked = Math.max(cluster.mostAsked, this.asked);
       const w = cluster.worker(e.machine);
       if (!w || w.dead || w.hung || cluster.cut(this.name, e.machine) || cluster.deaf(this.name, e.machine)) {
         if (w?.hung) w.held.push(() => void w.command(e.token, e.session, e.commands));
-        return later(2500, () => core.commandResult(e.id, { kind: 'lost' }, cluster.now));
+        return later(2500, () => {
+          this.asked--;
+          core.commandResult(e.id, { kind: 'lost' }, cluster.now);
+        });
       }
       const r = w.command(e.token, e.session, e.commands);
-      later(10, () => core.commandResult(e.id, r, cluster.now));
+      later(10, () => {
+        this.asked--;
+        core.commandResult(e.id, r, cluster.now);
+      });
     } else if (e.t === 'ask') {
       const w = cluster.worker(e.addr);
       const ok = w !== undefined && !w.dead && !w.hung && !cluster.cut(this.name, w.name) && !cluster.deaf(this.name, w.name);
       later(ok ? 10 : 1500, () => core.asked(e.id, ok, cluster.now));
     } else if (e.t === 'status') {
+      cluster.statuses++;
+      cluster.statusBytes += encodePeer({ node: this.name, status: e.status, report: null }).length;
       const copy: PeerStatus = structuredClone(e.status);
       const n = cluster.node(e.to);
       if (n.up && !cluster.cut(this.name, n.name)) {
@@ -500,6 +526,13 @@
   deaf: (node: string, machine: string) => boolean = () => false;
   /** reports passed on whole by keepers */
   relays = 0;
+  /** bytes of statuses between controllers, and how many were sent */
+  statusBytes = 0;
+  statuses = 0;
+  /** changes sent to the state service, by the kind of key */
+  readonly changes = new Map<string, number>();
+  /** questions and commands under way to workers, the most at once at any controller */
+  mostAsked = 0;
   trace: string[] = [];
   private queue: { at: number; run: () => void }[] = [];
   private readonly byName = new Map<string, WorkerStandIn>();
