--- a/packages/core/src/lead.ts
+++ b/packages/core/src/lead.ts
@@ -536,7 +536,7 @@
       inZone.set(z, (inZone.get(z) ?? 0) + 1);
     }
     for (const d of wants) {
-      let left = d.count;
+      let left = d.places;
       const fill = () => {
         for (const f of free) {
           if (left <= 0) return;
