--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -97,7 +97,9 @@
       else if (this.cutZones.delete(zone)) {
         for (const m of this.cx.table.machines.values()) {
           if (m.zone !== zone || !this.work.held.has(m.share)) continue;
-          m.heardAt = now;
+          // One that hasn't answered since the share was taken over keeps the share's work from
+          // going on, and is asked, not waited for.
+          m.heardAt = m.resolved ? now : Math.max(m.heardAt, now - this.cx.settings.policy.silentS * 500);
           m.lostCount = Math.min(m.lostCount, 1);
           m.lostSince = m.lostCount > 0 ? now : -1;
         }
--- a/packages/core/src/holdings.ts
+++ b/packages/core/src/holdings.ts
@@ -3,6 +3,9 @@
 import { KEY } from './table.js';
 import { URGENCY } from './writer.js';
 
+/** A share goes home when it has been at rest for this long. */
+const SETTLED_MS = 4000;
+
 /** A share that doesn't come to rest goes home after this long all the same. */
 const UNSETTLED_MS = 60_000;
 
@@ -19,6 +22,7 @@
   readonly mine = new Map<string, number>();
   private releasing = new Set<string>();
   private readonly homeSeen = new Map<string, Ms>();
+  private readonly settledSince = new Map<string, Ms>();
 
   constructor(private readonly cx: Context) {}
 
@@ -139,7 +143,11 @@
       this.homeSeen.set(home, since);
       // A change of holder stops starts until all machines have answered anew: not while a share
       // is still finding its feet, after a cut say, unless that takes for ever.
-      if (now - since < (cx.settled(Number(name)) ? 4000 : UNSETTLED_MS)) continue;
+      if (!cx.settled(Number(name))) this.settledSince.delete(name);
+      else if (!this.settledSince.has(name)) this.settledSince.set(name, now);
+      const settled = this.settledSince.get(name);
+      if (now - since < UNSETTLED_MS && (settled === undefined || now - settled < SETTLED_MS)) continue;
+      this.settledSince.delete(name);
       cx.log('info', 'handing share home', { share: name, to: home });
       this.release(name, now);
       return;
--- a/packages/core/src/owner.ts
+++ b/packages/core/src/owner.ts
@@ -42,7 +42,10 @@
 
   settled(share: number): boolean {
     for (const m of this.cx.table.machines.values()) if (m.share === share && m.suspect) return false;
-    return !this.work.unmet.some((u) => u.job.share === share && u.job.spec.rank === TOP_RANK);
+    // Not the last plan's leftovers: it left out what it could not prove yet.
+    for (const j of this.cx.table.jobs.values())
+      if (j.share === share && j.state === 'live' && j.spec.rank === TOP_RANK && j.pendingCount() > 0) return false;
+    return true;
   }
 
   planSoon(): void {
--- a/test/apart.test.ts
+++ b/test/apart.test.ts
@@ -313,3 +313,30 @@
   }
   assert.equal(c.trace.filter((l) => l.includes('user told 201')).length, 2);
 });
+
+test('after a cut a share goes home only once its services run again: a change of holder stops starts', () => {
+  const c = cluster(12);
+  c.submit(job('run-q', { team: 'blue', shape: 'service', tasks: 10, rank: 3, cls: 'serve' }));
+  c.until('running', () => c.running('run-q') === 10);
+  const share = shareOf(c, 'run-q');
+  const home = holderOf(c, share);
+  const zone = c.node(home).core.settings.zone;
+  const inside = (x: string) => x === home || c.workers.find((w) => w.name === x)?.zone === zone;
+  // Its home is cut off whole; a machine there dies, the others' work ends by its leases.
+  for (const n of c.nodes) if (n.name !== home && n.core.settings.zone === zone) n.crash();
+  c.cut = (a, b) => inside(a) !== inside(b);
+  c.node(home).refused = true;
+  const dead = c.workers.find((w) => w.zone === zone && c.on('run-q').includes(w.name));
+  if (dead) {
+    dead.dead = true;
+    dead.tasks.clear();
+  }
+  const away = c.nodes.find((n) => n.up && n.name !== home) as Node;
+  c.until('taken over', () => (away.core.table.holder(share)?.holder.node ?? home) !== home, 40);
+  c.until('its leases are over', () => !c.on('run-q').some(inside), 40);
+  c.cut = () => false;
+  c.node(home).refused = false;
+  for (const n of c.nodes) if (!n.up) n.restart();
+  c.until('at home', () => away.core.table.holder(share)?.holder.node === home, 90);
+  assert.equal(c.running('run-q'), 10);
+});
