--- a/packages/core/src/desk.ts
+++ b/packages/core/src/desk.ts
@@ -3,11 +3,15 @@
 import type { Job, Ms } from './model.js';
 import { copies } from './placement.js';
 import { type JobRecord, KEY } from './table.js';
+import { URGENCY } from './writer.js';
 
 /** Users wait 5 s for an answer to a submission and 2 s for one to a poll. */
 const SUBMIT_MS = 4000;
 const POLL_MS = 1700;
 
+/** Bytes of a value left to what the record gets later, and to how the service counts. */
+const RECORD_SPARE = 256;
+
 /** Users' requests, at any controller. */
 export class Desk {
   private open = 0;
@@ -23,9 +27,12 @@
     this.answer(id, 503, { error: why }, 1);
   }
 
-  /** More requests than this wait already: one more would only make all of them late. */
+  /**
+   * So many wait already that one more would only make all of them late, or that connections
+   * which workers need would go to users.
+   */
   private crowded(): boolean {
-    return this.open > 200 || this.cx.writer.length > 6 * this.cx.settings.state.writeRps;
+    return this.open > this.cx.settings.sockets / 8 || this.cx.writer.length > 6 * this.cx.settings.state.writeRps;
   }
 
   submit(id: number, body: Record<string, unknown> | null, now: Ms, wall: number): void {
@@ -54,13 +61,16 @@
       return;
     }
     if (this.crowded()) return this.busy(id, 'overloaded');
-    let over = false;
     const record: JobRecord = { s: 0, t: wall, sp: spec };
+    // The state service would refuse it, and all that is written with it.
+    if (Buffer.byteLength(JSON.stringify(record)) > this.cx.settings.state.valueKb * 1024 - RECORD_SPARE)
+      return this.answer(id, 400, { error: 'its names are too long to be stored' });
+    let over = false;
     this.cx.writer.add({
       key: KEY.job(spec.id),
       value: () => record,
       guard: 0,
-      urgency: 2,
+      urgency: URGENCY.accept,
       until: now + SUBMIT_MS,
       done: (outcome) => {
         if (over) return;
@@ -184,7 +194,7 @@
       key: KEY.job(job),
       value: () => ({ ...record, s: 2 }),
       guard: entry.stamp,
-      urgency: 1,
+      urgency: URGENCY.cancel,
       until,
       done: (outcome) => {
         if (over) return;
--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -2,6 +2,7 @@
 import type { Machine, Ms } from './model.js';
 import { KEY } from './table.js';
 import type { Work } from './work.js';
+import { URGENCY } from './writer.js';
 
 /** What is seen of a zone's machines that are ours. */
 interface ZoneView {
@@ -35,6 +36,8 @@
     for (const m of this.cx.table.machines.values()) {
       if (!this.work.held.has(m.share)) continue;
       const z = zones.get(m.zone) ?? { all: 0, heard: 0, lost: 0 };
+      // What was not asked yet after a takeover says nothing of its zone.
+      if (!m.resolved && !m.probed) continue;
       z.all++;
       if (m.lostCount >= 2) z.lost++;
       if (now - m.heardAt < 4000) z.heard++;
@@ -49,7 +52,7 @@
     const back: Machine[] = [];
     for (const m of this.cx.table.machines.values()) {
       if (!this.work.held.has(m.share)) continue;
-      const silent = now - m.heardAt;
+      const silent = m.resolved || m.probed ? now - m.heardAt : 0;
       // Once its notice is over a silent machine is most likely taken.
       const taken = m.noticeUntil > 0 && now > m.noticeUntil && silent > this.cx.settings.workers.reportS * 1500;
       if ((silent > silentMs || taken) && !m.giveBack && !this.heardElsewhere(m, now)) {
@@ -94,7 +97,9 @@
       else if (this.cutZones.delete(zone)) {
         for (const m of this.cx.table.machines.values()) {
           if (m.zone !== zone || !this.work.held.has(m.share)) continue;
-          m.heardAt = now;
+          // One that hasn't answered since the share was taken over keeps the share's work from
+          // going on, and is asked, not waited for.
+          m.heardAt = m.resolved ? now : Math.max(m.heardAt, now - this.cx.settings.policy.silentS * 500);
           m.lostCount = Math.min(m.lostCount, 1);
           m.lostSince = m.lostCount > 0 ? now : -1;
         }
@@ -200,7 +205,12 @@
   private giveUp(m: Machine, why: string): void {
     m.giveBack = why;
     m.returnAt = 0;
-    this.cx.log('info', 'giving machine back', { machine: m.name, why, tasks: m.placements.size });
+    this.cx.log('info', 'giving machine back', {
+      machine: m.name,
+      zone: this.cx.table.zoneNames.name(m.zone),
+      why,
+      tasks: m.placements.size,
+    });
   }
 
   private handOver(m: Machine): void {
@@ -212,7 +222,7 @@
       value: () => ({ ...this.cx.table.grantOf(m), s: to }),
       guard: m.grantStamp,
       also: this.work.also(m.share),
-      urgency: 1,
+      urgency: URGENCY.grant,
       done: (o) => {
         m.grantQueued = false;
         if (o === 'ok') this.cx.log('debug', 'machine handed over', { machine: m.name, to });
@@ -240,13 +250,14 @@
       },
       guard: m.grantStamp,
       also: this.work.also(m.share),
-      urgency: 2,
+      urgency: URGENCY.release,
       done: (o) => {
         m.grantQueued = false;
         m.bumping = false;
         if (o === 'ok') {
           m.dirty = false;
           m.resolved = false;
+          m.probed = false;
         }
       },
     });
@@ -277,7 +288,7 @@
         key: cache,
         value: () => undefined,
         guard: kept.stamp,
-        urgency: 4,
+        urgency: URGENCY.images,
         until: this.work.now + 15_000,
         done: () => {},
       });
@@ -286,7 +297,7 @@
       value: () => undefined,
       guard: m.grantStamp,
       also: this.work.also(m.share),
-      urgency: 2,
+      urgency: URGENCY.release,
       done: (o) => {
         if (o !== 'ok' && this.cx.table.machines.get(m.name) === m && this.work.held.has(m.share)) this.dropGrant(m);
       },
--- a/packages/core/src/holdings.ts
+++ b/packages/core/src/holdings.ts
@@ -1,6 +1,13 @@
 import type { Context } from './context.js';
 import type { Ms } from './model.js';
 import { KEY } from './table.js';
+import { URGENCY } from './writer.js';
+
+/** A share goes home when it has been at rest for this long. */
+const SETTLED_MS = 4000;
+
+/** A share that doesn't come to rest goes home after this long all the same. */
+const UNSETTLED_MS = 60_000;
 
 /**
  * Who holds which share, and the lead. A key per holding names its holder and is attached
@@ -15,6 +22,7 @@
   readonly mine = new Map<string, number>();
   private releasing = new Set<string>();
   private readonly homeSeen = new Map<string, Ms>();
+  private readonly settledSince = new Map<string, Ms>();
 
   constructor(private readonly cx: Context) {}
 
@@ -99,7 +107,7 @@
       value: () => ({ boot: this.cx.boot }),
       guard: cur?.stamp ?? 0,
       leased: true,
-      urgency: 2,
+      urgency: URGENCY.release,
       until: now + 5000,
       done: () => this.writing.delete(key),
     });
@@ -114,7 +122,7 @@
       value: () => ({ node: cx.settings.node, boot: cx.boot }),
       guard,
       leased: true,
-      urgency: 0,
+      urgency: URGENCY.holding,
       until: now + 5000,
       done: () => this.writing.delete(name),
     });
@@ -133,7 +141,13 @@
       }
       const since = this.homeSeen.get(home) ?? now;
       this.homeSeen.set(home, since);
-      if (now - since < 4000) continue;
+      // A change of holder stops starts until all machines have answered anew: not while a share
+      // is still finding its feet, after a cut say, unless that takes for ever.
+      if (!cx.settled(Number(name))) this.settledSince.delete(name);
+      else if (!this.settledSince.has(name)) this.settledSince.set(name, now);
+      const settled = this.settledSince.get(name);
+      if (now - since < UNSETTLED_MS && (settled === undefined || now - settled < SETTLED_MS)) continue;
+      this.settledSince.delete(name);
       cx.log('info', 'handing share home', { share: name, to: home });
       this.release(name, now);
       return;
@@ -146,7 +160,7 @@
       key: KEY.holding(Number(name)),
       value: () => undefined,
       guard: this.mine.get(name) ?? 0,
-      urgency: 0,
+      urgency: URGENCY.holding,
       until: now + 5000,
       done: (o) => {
         if (o !== 'ok') this.releasing.delete(name);
--- a/packages/core/src/lead.ts
+++ b/packages/core/src/lead.ts
@@ -1,9 +1,10 @@
 import type { Listed, MachineType, PeerDemand, PeerMachine, PeerShare } from '@archpost/wire';
 import type { Context } from './context.js';
-import { type Machine, type Ms, type Need, SCARCE_AFTER_S } from './model.js';
+import { type Machine, type Ms, type Need, SCARCE_AFTER_S, TOP_RANK } from './model.js';
 import type { Owner } from './owner.js';
 import { copies } from './placement.js';
 import { KEY } from './table.js';
+import { URGENCY } from './writer.js';
 
 export interface Stranger {
   machine: string;
@@ -13,6 +14,17 @@
   spot: boolean;
 }
 
+/** Machines of one kind that are to be rented. */
+interface Purchase {
+  type: string;
+  zone: string;
+  spot: boolean;
+  count: number;
+}
+
+/** Rentals under way at once. */
+const BOOKINGS = 3;
+
 interface Booking {
   type: string;
   zone: string;
@@ -40,6 +52,9 @@
 /** A granted machine is probed, planned for and told of within this time. */
 const GRANT_SHOWS_MS = 1500;
 
+/** Work of the highest rank that waited for so many plan waits gets machines that bear firm work elsewhere. */
+const PRESSING_PLAN_WAITS = 1.5;
+
 interface Market {
   notBefore: Ms;
   refusals: number;
@@ -203,7 +218,7 @@
         value: () => ({ s: share, a: s.addr, t: s.type, z: s.zone, sp: s.spot }),
         guard: 0,
         also: [{ key: KEY.holding('lead'), stamp: this.stamp }],
-        urgency: 1,
+        urgency: URGENCY.grant,
         until: now + 8000,
         done: () => {
           this.granting.delete(s.machine);
@@ -322,7 +337,11 @@
           // Machines with accelerators that may not be had again stay for what needs them, unless
           // the most urgent work has found nothing else for a while.
           const scarce = m.cap.gpus > 0 && !m.spot && !this.cx.plenty(m.cap.name) && table.gpuShares.has(s.share);
-          if (w.d.gpus === 0 && scarce && (w.d.rank < 3 || w.d.waitS < SCARCE_AFTER_S || p.tasks > 0)) continue;
+          // Work on them gives way only to what has pressed for longer than its own share needs to clear one.
+          const pressing = w.d.rank >= TOP_RANK && w.d.waitS > PRESSING_PLAN_WAITS * this.cx.settings.policy.planWaitS;
+          if (w.d.gpus === 0 && scarce && (w.d.rank < TOP_RANK || w.d.waitS < SCARCE_AFTER_S || (p.tasks > 0 && !pressing)))
+            continue;
+          if (p.firmRank >= TOP_RANK - 1 && !pressing) continue;
           // Ordinary machines stay for what can't use others.
           if (w.d.spot && !m.spot && w.d.gpus === 0 && idle(s) <= 3) continue;
           if (w.d.gpus === 0 && m.cap.gpus > 0 && w.d.rank < 2 && p.tasks > 0) continue;
@@ -383,7 +402,7 @@
       value: () => ({ ...this.cx.table.grantOf(m), mv: share }),
       guard: m.grantStamp,
       also: [{ key: KEY.holding('lead'), stamp: this.stamp }],
-      urgency: 1,
+      urgency: URGENCY.grant,
       until: now + 4000,
       done: (o) => {
         if (o !== 'ok') this.moves.delete(m.name);
@@ -427,20 +446,23 @@
   private rent(shares: Map<number, PeerShare>, now: Ms): void {
     // A new lead doesn't know what the last one rented: the list will tell.
     if (now - this.since < 2000 * this.cx.settings.cloud.listLagS + 2000 && this.takenOver) return;
-    if (now < this.nextRentAt || this.bookings.size >= 3) return;
+    if (now < this.nextRentAt) return;
     const { settings, table } = this.cx;
-    const held = table.machines.size + this.onTheWay(now).length;
     const max = settings.policy.maxMachines;
-    if (max !== null && held >= max) return;
-    const want = settings.policy.hold ? this.wantToHold(shares, now) : this.wantByNeed(shares, now);
-    if (!want) return;
-    const count = Math.max(1, Math.min(want.count, 50, max === null ? 50 : max - held));
-    const id = this.cx.nextId();
-    const request = `r-${this.stamp}-${++this.counter}`;
-    this.bookings.set(id, { ...want, count, at: now });
-    this.cx.log('info', 'renting', { request, ...want, count });
-    this.cx.emit({ t: 'rent', id, rental: { request, type: want.type, zone: want.zone, spot: want.spot, count } });
-    this.nextRentAt = now + Math.max(300, 1000 / settings.cloud.rps);
+    let held = table.machines.size + this.onTheWay(now).length;
+    // What a wave of losses took is asked for at once, kind by kind: a round each would add
+    // seconds to the boot time that everybody waits for.
+    for (const want of settings.policy.hold ? this.wantToHold(shares, now) : this.wantByNeed(shares, now)) {
+      if (this.bookings.size >= BOOKINGS || (max !== null && held >= max)) return;
+      const count = Math.max(1, Math.min(want.count, 50, max === null ? 50 : max - held));
+      held += count;
+      const id = this.cx.nextId();
+      const request = `r-${this.stamp}-${++this.counter}`;
+      this.bookings.set(id, { ...want, count, at: now });
+      this.cx.log('info', 'renting', { request, ...want, count });
+      this.cx.emit({ t: 'rent', id, rental: { request, type: want.type, zone: want.zone, spot: want.spot, count } });
+      this.nextRentAt = now + Math.max(300, 1000 / settings.cloud.rps);
+    }
   }
 
   private options(): { type: MachineType; zone: string; spot: boolean }[] {
@@ -455,10 +477,7 @@
   }
 
   /** No price among the objectives: hold spare room of every kind that is used. */
-  private wantToHold(
-    shares: Map<number, PeerShare>,
-    now: Ms,
-  ): { type: string; zone: string; spot: boolean; count: number } | null {
+  private wantToHold(shares: Map<number, PeerShare>, now: Ms): Purchase[] {
     const room = new Map<string, { all: number; free: number }>();
     for (const s of shares.values()) {
       for (const p of s.machines) {
@@ -472,7 +491,7 @@
     }
     const unmet = [...shares.values()].flatMap((s) => s.demands);
     const coming = this.onTheWay(now);
-    let best: { type: string; zone: string; spot: boolean; count: number; score: number } | null = null;
+    let best: (Purchase & { score: number }) | null = null;
     for (const o of this.options()) {
       const mk = this.market(o.type.name, o.zone, o.spot);
       if (now < mk.notBefore) continue;
@@ -487,14 +506,11 @@
       const score = asked.length * 10 - zoneCount - (o.spot ? 1 : 0);
       if (!best || score > best.score) best = { type: o.type.name, zone: o.zone, spot: o.spot, count: 4, score };
     }
-    return best;
+    return best ? [{ type: best.type, zone: best.zone, spot: best.spot, count: best.count }] : [];
   }
 
   /** Money is an objective: rent for what waits, the cheapest kind per task. */
-  private wantByNeed(
-    shares: Map<number, PeerShare>,
-    now: Ms,
-  ): { type: string; zone: string; spot: boolean; count: number } | null {
+  private wantByNeed(shares: Map<number, PeerShare>, now: Ms): Purchase[] {
     const coming: { c: { type: string; zone: string; spot: boolean; idle?: boolean }; t: MachineType | null }[] = [
       ...this.onTheWay(now),
       ...this.freshGrants(now),
@@ -513,14 +529,14 @@
     const wants = [...shares.values()].flatMap((s) => s.demands).sort((a, b) => b.rank - a.rank || b.waitS - a.waitS);
     const cheapest = Math.min(...this.options().map((o) => (o.spot ? Number.POSITIVE_INFINITY : o.type.price / o.type.cpus)));
     // All wants are fitted, on paper, into what is coming and what would be rented for them.
-    const buy = new Map<string, { type: string; zone: string; spot: boolean; count: number }>();
+    const buy = new Map<string, Purchase>();
     const inZone = new Map<string, number>();
     for (const m of this.cx.table.machines.values()) {
       const z = this.cx.table.zoneNames.name(m.zone);
       inZone.set(z, (inZone.get(z) ?? 0) + 1);
     }
     for (const d of wants) {
-      let left = d.count;
+      let left = d.places;
       const fill = () => {
         for (const f of free) {
           if (left <= 0) return;
@@ -548,7 +564,7 @@
         fill();
       }
     }
-    return buy.values().next().value ?? null;
+    return [...buy.values()];
   }
 
   /** The kind of machine that serves most of these tasks for the money, if any is worth it. */
@@ -582,13 +598,22 @@
     } else if (r.kind === 'full') {
       mk.refusals++;
       mk.filled = false;
-      mk.notBefore = now + Math.min(90_000, 10_000 * 2 ** Math.min(4, mk.refusals));
+      mk.notBefore = now + Math.min(this.longestPause(), 10_000 * 2 ** Math.min(4, mk.refusals));
     } else {
       // It may have been carried out: what came of it shows in the list.
       mk.notBefore = now + 2000 * this.cx.settings.cloud.listLagS + 3000;
     }
   }
 
+  /**
+   * Kinds that are sold out are asked for again as often as a quarter of the cloud's limit
+   * allows: machines that others gave up, or that died, come back unannounced. At 90 s each,
+   * four accelerator machines stayed unrented for a minute while 29 gangs waited.
+   */
+  private longestPause(): Ms {
+    return Math.max(10_000, Math.min(90_000, (this.options().length * 4000) / this.cx.settings.cloud.rps));
+  }
+
   /** Machines that never come up, or that failed and nobody has been granted, go back. */
   private tidy(now: Ms): void {
     if (this.returns.size > 0) return;
@@ -657,7 +682,7 @@
           value: () => ({ ...this.cx.table.grantOf(m), x: true }),
           guard: m.grantStamp,
           also: [{ key: KEY.holding('lead'), stamp: this.stamp }],
-          urgency: 3,
+          urgency: URGENCY.progress,
           until: now + 4000,
           done: () => {},
         });
--- a/packages/core/src/model.ts
+++ b/packages/core/src/model.ts
@@ -43,11 +43,18 @@
   teams: Team[];
   objectives: Objective[];
   workers: { reportS: number; leaseS: number; gangWaitS: number; gangPeerS: number; cancelS: number };
+  /** what of a processor core this controller has */
+  cpuShare: number;
+  /** connections that it may have open */
+  sockets: number;
   state: { rps: number; writeRps: number; valueKb: number; txnOps: number };
   cloud: { rps: number; listLagS: number };
   policy: Policy;
 }
 
+/** The rank of work that comes before all other, and before guarantees too once it presses. */
+export const TOP_RANK = 3;
+
 /** Services wait this long for other room before they take a scarce machine with accelerators. */
 export const SCARCE_AFTER_S = 8;
 
@@ -206,6 +213,11 @@
   seq = -1;
   /** answered our token since we took the share over: its report is all there is on it */
   resolved = false;
+  /** asked since we took the share over */
+  probed = false;
+  lastAskAt: Ms = -1e12;
+  /** highest rank of what its reports name while it isn't resolved: says who to ask first, no more */
+  bearsRank = -1;
   /** may bear work of an earlier holder that we don't know of */
   suspect = false;
   /** a command's fate is unknown: its token must rise before it is used again */
--- a/packages/core/src/owner.ts
+++ b/packages/core/src/owner.ts
@@ -2,7 +2,8 @@
 import { Commands } from './commands.js';
 import type { Context } from './context.js';
 import { Fleet } from './fleet.js';
-import type { Job, Machine, Ms, Placement } from './model.js';
+import { type Job, type Machine, type Ms, type Placement, TOP_RANK } from './model.js';
+import { Order } from './order.js';
 import { zoneAllows, zoneCounts } from './placement.js';
 import { Planner } from './planner.js';
 import { Records } from './records.js';
@@ -19,6 +20,7 @@
   readonly fleet: Fleet;
   readonly commands: Commands;
   private readonly records: Records;
+  private readonly order: Order;
   private readonly planner: Planner;
   private lastTick: Ms = 0;
   private lastSummary: Ms = 0;
@@ -29,7 +31,8 @@
     this.reports = new Reports(cx, this.work, this.records);
     this.fleet = new Fleet(cx, this.work);
     this.commands = new Commands(cx, this.work, this.reports);
-    this.planner = new Planner(cx, this.work);
+    this.order = new Order(cx, this.work);
+    this.planner = new Planner(cx, this.work, this.order);
   }
 
   /** The shares held here. */
@@ -37,6 +40,14 @@
     return this.work.held;
   }
 
+  settled(share: number): boolean {
+    for (const m of this.cx.table.machines.values()) if (m.share === share && m.suspect) return false;
+    // Not the last plan's leftovers: it left out what it could not prove yet.
+    for (const j of this.cx.table.jobs.values())
+      if (j.share === share && j.state === 'live' && j.spec.rank === TOP_RANK && j.pendingCount() > 0) return false;
+    return true;
+  }
+
   planSoon(): void {
     this.work.wantPlan = true;
   }
@@ -72,6 +83,8 @@
     m.placements.clear();
     m.strays = [];
     m.resolved = false;
+    m.probed = false;
+    m.bearsRank = -1;
     m.dirty = false;
     m.bumping = false;
     m.inflight = 0;
@@ -226,7 +239,7 @@
   private readonly told = new Map<number, { at: Ms; share: PeerShare }>();
 
   private view(share: number, now: Ms): PeerShare {
-    const guar = this.planner.guarantees();
+    const guar = this.order.guarantees();
     const machines: PeerMachine[] = [];
     const clearable = this.planner.clearable(share, now);
     for (const m of this.cx.table.machines.values()) {
@@ -235,7 +248,8 @@
       let firmRank = -1;
       for (const p of m.placements.values()) {
         if (p.phase === 'exited' || (p.job.spec.shape === 'service' && clearable.has(m))) continue;
-        firmRank = Math.max(firmRank, guar.get(p.job)?.firm ? 9 : p.job.spec.rank);
+        // Within a guarantee it gives way to the highest rank only.
+        firmRank = Math.max(firmRank, p.job.spec.rank, guar.get(p.job)?.firm ? TOP_RANK - 1 : -1);
       }
       if (!this.work.usable(m, now)) firmRank = 9;
       machines.push({
@@ -272,10 +286,12 @@
         notZones,
       ].join('/');
       const waitS = (now - Math.max(u.job.arrivedAt, u.job.waitsSince)) / 1000;
-      const slackS = Math.max(-1e4, Math.min(1e4, (this.planner.dueOf(u.job, now) - now) / 1000));
+      const slackS = Math.max(-1e4, Math.min(1e4, (this.order.dueOf(u.job, now) - now) / 1000));
+      const places = Math.ceil(u.count / this.order.turns(u.job, now));
       const old = demands.get(key);
       if (old) {
         old.count += u.count;
+        old.places += places;
         old.waitS = Math.max(old.waitS, waitS);
         old.slackS = Math.min(old.slackS, slackS);
         continue;
@@ -291,6 +307,7 @@
         rank: s.rank,
         within: u.within,
         count: u.count,
+        places,
         gang,
         waitS,
         slackS,
