--- a/packages/core/src/commands.ts
+++ b/packages/core/src/commands.ts
@@ -27,6 +27,9 @@
     { machine: Machine; sent: Placement[]; probe: boolean; seen: { session: number; seq: number } }
   >();
 
+  /** questions under way */
+  private probes = 0;
+
   constructor(
     private readonly cx: Context,
     private readonly work: Work,
@@ -44,7 +47,10 @@
       if (m.resolved && !odd) this.flush(m, now);
       else ask.push(m);
     }
-    const room = Math.max(2, Math.round(ASKS_PER_TICK * this.cx.settings.cpuShare));
+    // Half of the connections for commands: questions to a silent zone must not close those to live ones.
+    const open = this.cx.settings.sockets / 12 - this.probes;
+    const room = Math.min(open, Math.max(2, Math.round(ASKS_PER_TICK * this.cx.settings.cpuShare)));
+    if (room < 1) return;
     if (ask.length > room) ask.sort(before);
     for (const m of ask.slice(0, room)) this.askMachine(m, now);
   }
@@ -115,7 +121,10 @@
     for (const p of sent) p.phase = 'sent';
     m.inflight = id;
     m.ask = false;
-    if (probe) m.lastAskAt = this.work.now;
+    if (probe) {
+      m.lastAskAt = this.work.now;
+      this.probes++;
+    }
     this.sent.set(id, { machine: m, sent, probe, seen: { session: m.session, seq: m.seq } });
     this.cx.emit({
       t: 'command',
@@ -133,10 +142,12 @@
     const c = this.sent.get(id);
     if (!c) return;
     this.sent.delete(id);
+    if (c.probe) this.probes--;
     const m = c.machine;
     if (m.inflight !== id) return;
     m.inflight = 0;
-    this.work.wantPlan = true;
+    // That a machine stands as it stood changes no plan.
+    if (!c.probe || !m.resolved || m.lostCount > 0) this.work.wantPlan = true;
     if (!this.work.held.has(m.share)) return;
     if (r.kind === 'ok' || r.kind === 'stale') {
       m.lostCount = 0;
--- a/packages/server/src/service.ts
+++ b/packages/server/src/service.ts
@@ -40,7 +40,9 @@
     const ttlMs = Math.round(Math.min(600, Math.max(1, c.workers.cancelS / 2)) * 1000);
     this.store = new StateStore(settings.state, 'a/', (c.state.rps * 0.9) / nodes, ttlMs, 0.002);
     this.cloud = new Cloud(settings.cloud, c.cloud.rps * Math.max(0.5, 0.9 / nodes));
-    this.workers = new Workers(Math.floor(settings.maxSockets / 3));
+    // All workers may come to one controller, with a connection each: those for commands, of which
+    // the longest unused are closed, must leave room for that, and for users.
+    this.workers = new Workers(Math.floor(settings.maxSockets / 6));
     this.peers = new Peers(settings.others);
     this.api = new Api(
       (r) => this.request(r),
