--- a/packages/core/src/commands.ts
+++ b/packages/core/src/commands.ts
@@ -48,11 +48,17 @@
       else ask.push(m);
     }
     // Half of the connections for commands: questions to a silent zone must not close those to live ones.
-    const open = this.cx.settings.sockets / 12 - this.probes;
-    const room = Math.min(open, Math.max(2, Math.round(ASKS_PER_TICK * this.cx.settings.cpuShare)));
-    if (room < 1) return;
+    let open = this.cx.settings.sockets / 12 - this.probes;
+    let room = Math.max(2, Math.round(ASKS_PER_TICK * this.cx.settings.cpuShare));
     if (ask.length > room) ask.sort(before);
-    for (const m of ask.slice(0, room)) this.askMachine(m, now);
+    for (const m of ask) {
+      if (room < 1) return;
+      // What is heard and has answered so far doesn't wait for what isn't.
+      const well = m.resolved && m.lostCount === 0 && this.work.heardLately(m, now);
+      if (!well && open-- < 1) continue;
+      room--;
+      this.askMachine(m, now);
+    }
   }
 
   private askMachine(m: Machine, now: Ms): void {
@@ -150,9 +156,12 @@
     if (!c.probe || !m.resolved || m.lostCount > 0) this.work.wantPlan = true;
     if (!this.work.held.has(m.share)) return;
     if (r.kind === 'ok' || r.kind === 'stale') {
+      this.work.answeredAt = now;
+      this.work.unanswered.clear();
       m.lostCount = 0;
       m.lostSince = -1;
     } else {
+      if (this.work.heardLately(m, now)) this.work.unanswered.add(m.name);
       m.lostCount++;
       if (m.lostSince < 0) m.lostSince = now;
     }
--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -13,6 +13,12 @@
 /** How long a peer's silence is borne before its link counts as down. */
 const PEER_SILENT_MS = 3500;
 
+/** A controller that answers so many workers is known to be reached by them. */
+const HEARS_WORKERS = 3;
+
+/** How often a worker is sent to one that isn't, to try. */
+const TRY_MS = 250;
+
 /** What a keeper knows of a machine that reports to it. */
 interface Heard {
   report: Report;
@@ -281,10 +287,11 @@
     // Workers stay with a controller of their own zone: a cut between zones then costs
     // them nothing, where finding another controller could take longer than their lease.
     const near = this.nearNode(r.zone, holder, now);
-    if (near !== this.settings.node) {
+    if (near !== this.settings.node && this.maySend(r.machine, near, now)) {
       this.toWorker(id, 421, goHome(near));
       return;
     }
+    this.served.set(r.machine, now);
     const stops: Command[] = [];
     if (this.owner.work.mayAct(m.share, now)) {
       this.owner.reports.observe(m, r, now);
@@ -354,6 +361,36 @@
     return out;
   }
 
+  /**
+   * A worker that is sent away and comes back got no answer there, and its lease runs: it is
+   * sent once, then answered here. Nor are more than a few sent, to try, to a controller that
+   * hears no workers: one that had lost them all was still thought well, and 115 leases ran
+   * out on the way to it and back.
+   */
+  private maySend(machine: string, to: string, now: Ms): boolean {
+    const sent = this.sentAway.get(machine);
+    if (sent?.to === to && now - sent.at < 4 * this.settings.workers.leaseS * 1000) return false;
+    const hears = this.peers.get(to)?.status.hears ?? 0;
+    if (hears < HEARS_WORKERS) {
+      if (now - this.triedAt < TRY_MS) return false;
+      this.triedAt = now;
+    }
+    this.sentAway.set(machine, { to, at: now });
+    return true;
+  }
+
+  /** Workers answered here lately. */
+  private hears(now: Ms): number {
+    for (const [machine, at] of this.served) if (now - at > 2 * this.settings.workers.reportS * 1000) this.served.delete(machine);
+    for (const [machine, { at }] of this.sentAway)
+      if (now - at > 4 * this.settings.workers.leaseS * 1000) this.sentAway.delete(machine);
+    return this.served.size;
+  }
+
+  private readonly served = new Map<string, Ms>();
+  private readonly sentAway = new Map<string, { to: string; at: Ms }>();
+  private triedAt: Ms = -1e12;
+
   /** The controller that a worker of this zone should report to, as far as is seen from here. */
   private nearNode(zone: string, holder: string | null, now: Ms): string {
     const me = this.settings.node;
@@ -548,6 +585,7 @@
       reach: this.owner.fleet.reach,
       writes: Math.round(this.writer.wanted(now)),
       storeOk: now - this.storeAt < STORE_SILENT_MS,
+      hears: this.hears(now),
     };
   }
 
--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -4,6 +4,9 @@
 import type { Work } from './work.js';
 import { URGENCY } from './writer.js';
 
+/** No worker answers for this long, though some were asked for that: the fault is here. */
+const DOUBT_MS = 2000;
+
 /** What is seen of a zone's machines that are ours. */
 interface ZoneView {
   all: number;
@@ -21,6 +24,8 @@
   /** Can workers be reached from here? */
   reach = true;
   private lostReachAt: Ms = -1;
+  /** since when no worker at all has answered; -1: some do */
+  private doubtSince: Ms = -1;
   private answered = 0;
   private askAt: Ms = 0;
   private readonly asking = new Set<number>();
@@ -32,6 +37,7 @@
 
   watchMachines(now: Ms): void {
     const silentMs = this.cx.settings.policy.silentS * 1000;
+    this.judgeDoubt(now);
     const zones = new Map<number, ZoneView>();
     for (const m of this.cx.table.machines.values()) {
       if (!this.work.held.has(m.share)) continue;
@@ -55,12 +61,13 @@
       const silent = m.resolved || m.probed ? now - m.heardAt : 0;
       // Once its notice is over a silent machine is most likely taken.
       const taken = m.noticeUntil > 0 && now > m.noticeUntil && silent > this.cx.settings.workers.reportS * 1500;
-      if ((silent > silentMs || taken) && !m.giveBack && !this.heardElsewhere(m, now)) {
+      if ((silent > silentMs || taken) && !m.giveBack && now - m.elsewhereAt >= 5000) {
         const cut = this.cutZones.has(m.zone);
         // Cancelled work must be gone in time, whatever the reason for the silence.
         const cancelled = [...m.placements.values()].some((p) => p.job.state === 'cancelled');
         const limit = this.cx.settings.workers.cancelS * 1000 * 0.5;
-        if ((!cut && this.reach) || (cancelled && silent > limit)) this.giveUp(m, cut ? 'silent with cancelled work' : 'silent');
+        if ((!cut && this.reach && this.trusted(now, silent)) || (cancelled && silent > limit))
+          this.giveUp(m, cut ? 'silent with cancelled work' : 'silent');
       }
       if (m.giveBack === '' && this.work.empty(m) && m.resolved && !m.dirty) {
         if (m.retire) this.giveUp(m, 'not needed');
@@ -74,7 +81,8 @@
       // its lease runs out. Where many can't be reached at once, the fault isn't theirs.
       if (m.giveBack === '' && this.cutZones.has(m.zone) && this.doomed(m, now))
         this.giveUp(m, 'cut off for longer than its work lives');
-      if (m.giveBack === '' && this.unreachable(m, now) && !manyLost(m.zone)) this.giveUp(m, 'can not be reached');
+      if (m.giveBack === '' && this.unreachable(m, now) && !manyLost(m.zone) && this.trusted(now, now - m.lostSince))
+        this.giveUp(m, 'can not be reached');
       if (m.dirty && !m.bumping && m.inflight === 0 && !m.giveBack) this.bump(m);
     }
     if (back.length > 0 && now >= this.nextReturnAt) {
@@ -87,6 +95,49 @@
     }
   }
 
+  /**
+   * Before a machine is given up for its silence, some other must have answered lately: else
+   * perhaps it is this controller that is cut off from all workers. One such cut of 30 s took
+   * 115 live machines. Those that are heard, by way of others if need be, are asked. Where
+   * there is nobody to ask, it takes twice the silence.
+   */
+  private trusted(now: Ms, silent: Ms): boolean {
+    if (now - this.work.answeredAt < 2000 * this.cx.settings.workers.reportS) return true;
+    let asked = 0;
+    for (const m of this.cx.table.machines.values()) {
+      if (asked === 4) break;
+      if (!this.work.held.has(m.share) || m.lostCount > 0 || m.giveBack !== '') continue;
+      if (!this.work.heardLately(m, now)) continue;
+      if (now - m.lastAskAt > 1000) m.ask = true;
+      asked++;
+    }
+    return asked === 0 && silent > 2000 * this.cx.settings.policy.silentS;
+  }
+
+  /** Several machines don't answer though they are heard, and since then none does. */
+  private judgeDoubt(now: Ms): void {
+    const doubt = this.work.unanswered.size >= 3 && now - this.work.answeredAt > 1500;
+    if (!doubt) {
+      const lasted = this.doubtSince < 0 ? 0 : now - this.doubtSince;
+      this.doubtSince = -1;
+      // Cleared at once by those who were asked: the others' silence is their own.
+      if (lasted < DOUBT_MS) return;
+      for (const m of this.cx.table.machines.values()) if (this.work.held.has(m.share)) this.startAnew(m, now);
+      return;
+    }
+    if (this.doubtSince < 0) this.doubtSince = now;
+    this.trusted(now, 0);
+  }
+
+  /** Its silence so far may have been ours. */
+  private startAnew(m: Machine, now: Ms): void {
+    // One that hasn't answered since the share was taken over keeps the share's work from going
+    // on, and is asked, not waited for.
+    m.heardAt = m.resolved ? now : Math.max(m.heardAt, now - this.cx.settings.policy.silentS * 500);
+    m.lostCount = Math.min(m.lostCount, 1);
+    m.lostSince = m.lostCount > 0 ? now : -1;
+  }
+
   /**
    * When a cut ends, workers need a moment to find their way back from the keeper that
    * answered them meanwhile: until then their silence says nothing.
@@ -96,12 +147,7 @@
       if (this.zoneCut(zone, z, now)) this.cutZones.add(zone);
       else if (this.cutZones.delete(zone)) {
         for (const m of this.cx.table.machines.values()) {
-          if (m.zone !== zone || !this.work.held.has(m.share)) continue;
-          // One that hasn't answered since the share was taken over keeps the share's work from
-          // going on, and is asked, not waited for.
-          m.heardAt = m.resolved ? now : Math.max(m.heardAt, now - this.cx.settings.policy.silentS * 500);
-          m.lostCount = Math.min(m.lostCount, 1);
-          m.lostSince = m.lostCount > 0 ? now : -1;
+          if (m.zone === zone && this.work.held.has(m.share)) this.startAnew(m, now);
         }
       }
     }
@@ -148,12 +194,13 @@
       all.lost += z.lost;
     }
     const z = own && own.all >= 3 ? own : all;
-    if (z.all < 3 || z.lost * 4 < z.all * 3) {
+    const lost = z.all >= 3 && z.lost * 4 >= z.all * 3;
+    if (!lost && this.doubtSince < 0) {
       this.lostReachAt = -1;
       return;
     }
-    if (this.lostReachAt < 0) this.lostReachAt = now;
-    if (now - this.lostReachAt < 2000) return;
+    if (this.lostReachAt < 0) this.lostReachAt = lost ? now : this.doubtSince;
+    if (now - this.lostReachAt < DOUBT_MS) return;
     this.reach = false;
     this.answered = 0;
     this.askAt = now;
@@ -184,14 +231,12 @@
     if (this.answered < 6 || this.reach) return;
     this.reach = true;
     this.lostReachAt = -1;
+    this.doubtSince = -1;
+    this.work.unanswered.clear();
     for (const m of this.cx.table.machines.values()) m.lostCount = 0;
     this.cx.log('info', 'workers can be reached again');
   }
 
-  private heardElsewhere(m: Machine, now: Ms): boolean {
-    return now - m.elsewhereAt < 5000;
-  }
-
   /** A zone whose machines are all silent, or most of them and its controllers too, is cut off. */
   private zoneCut(zone: number, z: ZoneView, now: Ms): boolean {
     const name = this.cx.table.zoneNames.name(zone);
--- a/packages/core/src/owner.ts
+++ b/packages/core/src/owner.ts
@@ -150,6 +150,8 @@
     // Time that this process itself lost says nothing about the workers.
     const gap = now - this.lastTick;
     if (this.lastTick > 0 && gap > 800) {
+      this.work.answeredAt = now;
+      this.work.unanswered.clear();
       for (const m of this.cx.table.machines.values()) m.heardAt = Math.min(now, m.heardAt + gap - 300);
     }
     this.lastTick = now;
--- a/packages/core/src/reports.ts
+++ b/packages/core/src/reports.ts
@@ -82,6 +82,8 @@
   unchanged(h: PeerHeard, now: Ms): void {
     const m = this.cx.table.machines.get(h.machine);
     if (!m || !this.work.mayAct(m.share, now)) return;
+    // What is older than what came here is a late copy there.
+    if (m.resolved && (h.session < m.session || (h.session === m.session && h.seq < m.seq))) return;
     m.elsewhereAt = now;
     if (!m.resolved || h.session !== m.session || h.seq <= m.seq) return;
     if (m.seq < h.whole) {
--- a/packages/core/src/work.ts
+++ b/packages/core/src/work.ts
@@ -20,6 +20,9 @@
   private attempts = 1;
   wantPlan = true;
   now: Ms = 0;
+  /** when a worker last answered a question or command, and who didn't since though it is heard */
+  answeredAt: Ms = 0;
+  readonly unanswered = new Set<string>();
   /** what is left without room after the last plan */
   unmet: { job: Job; count: number; within: boolean }[] = [];
 
@@ -105,6 +108,11 @@
     return m.errorJobs.size >= 2 || m.errorTasks >= 3;
   }
 
+  /** Its reports come, here or to another controller. */
+  heardLately(m: Machine, now: Ms): boolean {
+    return now - m.heardAt < 4000 || now - m.elsewhereAt < 5000;
+  }
+
   usable(m: Machine, now: Ms): boolean {
     return (
       m.resolved &&
--- a/packages/wire/src/peer.ts
+++ b/packages/wire/src/peer.ts
@@ -76,6 +76,8 @@
   writes: number;
   /** the state service answers it */
   storeOk: boolean;
+  /** workers that it answered lately */
+  hears: number;
 }
 
 const root = protobuf.Root.fromJSON({
@@ -186,6 +188,7 @@
         reach: { type: 'bool', id: 10 },
         storeOk: { type: 'bool', id: 11 },
         writes: { type: 'uint32', id: 12 },
+        hears: { type: 'uint32', id: 13 },
       },
     },
   },
--- a/test/apart.test.ts
+++ b/test/apart.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { Report } from '@archpost/wire';
-import { type Cluster, holderOf, job, kept, type Node, shareOf, smallCluster, type WorkerStandIn } from './stand-ins.js';
+import { Cluster, holderOf, job, kept, type Node, shareOf, smallCluster, type WorkerStandIn } from './stand-ins.js';
 
 const cluster = (machines = 8) => smallCluster(machines);
 const machineOf = (c: Cluster, id: string) => c.workers.find((w) => w.name === c.on(id)[0]) as WorkerStandIn;
@@ -345,3 +345,25 @@
   c.until('at home', () => away.core.table.holder(share)?.holder.node === home, 90);
   assert.equal(c.running('run-q'), 10);
 });
+
+test('a controller that loses all workers throws none of them away, before or after, and their leases go on elsewhere', () => {
+  const c = new Cluster(['n0', 'n1', 'n2'], (s) => ({ ...s, teams: s.teams.slice(0, 1) }));
+  for (let i = 0; i < 40; i++) c.machine(`m${100 + i}`, 'small', i % 2 === 0 ? 'east' : 'west');
+  c.settle();
+  c.submit(job('run-k', { shape: 'service', tasks: 60, rank: 3, cls: 'serve' }));
+  c.until('running', () => c.running('run-k') === 60);
+  c.run(10);
+  c.trace = [];
+  // Neither reports nor answers pass, for longer than a lease; other controllers and the state
+  // service it still reaches.
+  const alone = holderOf(c, shareOf(c, 'run-k'));
+  c.cut = (a, b) => (a === alone && b.startsWith('m')) || (b === alone && a.startsWith('m'));
+  c.run(30);
+  c.cut = () => false;
+  c.run(30);
+  assert.deepEqual(
+    c.trace.filter((l) => /given back|lease over/.test(l)),
+    [],
+  );
+  assert.equal(c.running('run-k'), 60);
+});
