--- a/test/size.test.ts
+++ b/test/size.test.ts
@@ -46,6 +46,7 @@
       gpus: 90,
       gpusMax: 300,
     })),
+    cpuShare: 0.4,
     state: { ...s.state, rps: 350, writeRps: 150, txnOps: 24 },
   }));
   const machines = 900;
