--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -55,19 +55,21 @@
       const z = zones.get(zone);
       return !this.reach || this.cutZones.has(zone) || (z !== undefined && z.lost > 1 && z.lost * 4 > z.all);
     };
+    const limit = this.cx.settings.workers.cancelS * 1000 * 0.5;
     const back: Machine[] = [];
     for (const m of this.cx.table.machines.values()) {
       if (!this.work.held.has(m.share)) continue;
       const silent = m.resolved || m.probed ? now - m.heardAt : 0;
+      // Cancelled work must be gone in time, whatever the reason for the silence, and whatever
+      // is thought of how long it lasts.
+      if (m.giveBack === '' && this.cancelledWork(m, now, limit)) this.giveUp(m, 'cancelled work that does not end');
       // Once its notice is over a silent machine is most likely taken.
       const taken = m.noticeUntil > 0 && now > m.noticeUntil && silent > this.cx.settings.workers.reportS * 1500;
       if ((silent > silentMs || taken) && !m.giveBack && now - m.elsewhereAt >= 5000) {
         const cut = this.cutZones.has(m.zone);
-        // Cancelled work must be gone in time, whatever the reason for the silence.
-        const cancelled = [...m.placements.values()].some((p) => p.job.state === 'cancelled');
-        const limit = this.cx.settings.workers.cancelS * 1000 * 0.5;
-        if ((!cut && this.reach && this.trusted(now, silent)) || (cancelled && silent > limit))
-          this.giveUp(m, cut ? 'silent with cancelled work' : 'silent');
+        const waits = silent > limit && this.cancelledWork(m, now, 0);
+        if ((!cut && this.reach && this.trusted(now, silent)) || waits)
+          this.giveUp(m, waits ? 'silent with cancelled work' : 'silent');
       }
       if (m.giveBack === '' && this.work.empty(m) && m.resolved && !m.dirty) {
         if (m.retire) this.giveUp(m, 'not needed');
@@ -95,6 +97,13 @@
     }
   }
 
+  /** Bears work that was told to stop, since its user cancelled it, for longer than this. */
+  private cancelledWork(m: Machine, now: Ms, longer: Ms): boolean {
+    for (const p of m.placements.values())
+      if (p.job.state === 'cancelled' && p.phase !== 'exited' && now - p.job.lastStop > longer) return true;
+    return false;
+  }
+
   /**
    * Before a machine is given up for its silence, some other must have answered lately: else
    * perhaps it is this controller that is cut off from all workers. One such cut of 30 s took
