--- a/packages/core/src/lead.ts
+++ b/packages/core/src/lead.ts
@@ -20,6 +20,8 @@
   zone: string;
   spot: boolean;
   count: number;
+  /** for work of the highest rank */
+  urgent: boolean;
 }
 
 /** Rentals under way at once. */
@@ -338,7 +340,10 @@
           // the most urgent work has found nothing else for a while.
           const scarce = m.cap.gpus > 0 && !m.spot && !this.cx.plenty(m.cap.name) && table.gpuShares.has(s.share);
           // Work on them gives way only to what has pressed for longer than its own share needs to clear one.
-          const pressing = w.d.rank >= TOP_RANK && w.d.waitS > PRESSING_PLAN_WAITS * this.cx.settings.policy.planWaitS;
+          const pressing =
+            w.d.rank >= TOP_RANK &&
+            w.d.waitS > PRESSING_PLAN_WAITS * this.cx.settings.policy.planWaitS &&
+            w.left * 2 >= copies(w.d, m.cap);
           if (w.d.gpus === 0 && scarce && (w.d.rank < TOP_RANK || w.d.waitS < SCARCE_AFTER_S || (p.tasks > 0 && !pressing)))
             continue;
           if (p.firmRank >= TOP_RANK - 1 && !pressing) continue;
@@ -450,17 +455,22 @@
     const { settings, table } = this.cx;
     const max = settings.policy.maxMachines;
     let held = table.machines.size + this.onTheWay(now).length;
-    // What a wave of losses took is asked for at once, kind by kind: a round each would add
-    // seconds to the boot time that everybody waits for.
+    // What a wave of losses took from services is asked for at once, all kinds: a round each would
+    // add seconds to the boot time that everybody waits for. For the rest one kind a round will
+    // do: what comes free meanwhile need not be rented.
+    let first = true;
     for (const want of settings.policy.hold ? this.wantToHold(shares, now) : this.wantByNeed(shares, now)) {
       if (this.bookings.size >= BOOKINGS || (max !== null && held >= max)) return;
+      if (!first && !want.urgent) continue;
+      first = false;
       const count = Math.max(1, Math.min(want.count, 50, max === null ? 50 : max - held));
       held += count;
       const id = this.cx.nextId();
       const request = `r-${this.stamp}-${++this.counter}`;
-      this.bookings.set(id, { ...want, count, at: now });
-      this.cx.log('info', 'renting', { request, ...want, count });
-      this.cx.emit({ t: 'rent', id, rental: { request, type: want.type, zone: want.zone, spot: want.spot, count } });
+      const { type, zone, spot } = want;
+      this.bookings.set(id, { type, zone, spot, count, at: now });
+      this.cx.log('info', 'renting', { request, type, zone, spot, count });
+      this.cx.emit({ t: 'rent', id, rental: { request, type, zone, spot, count } });
       this.nextRentAt = now + Math.max(300, 1000 / settings.cloud.rps);
     }
   }
@@ -491,7 +501,7 @@
     }
     const unmet = [...shares.values()].flatMap((s) => s.demands);
     const coming = this.onTheWay(now);
-    let best: (Purchase & { score: number }) | null = null;
+    let best: (Omit<Purchase, 'urgent'> & { score: number }) | null = null;
     for (const o of this.options()) {
       const mk = this.market(o.type.name, o.zone, o.spot);
       if (now < mk.notBefore) continue;
@@ -506,7 +516,7 @@
       const score = asked.length * 10 - zoneCount - (o.spot ? 1 : 0);
       if (!best || score > best.score) best = { type: o.type.name, zone: o.zone, spot: o.spot, count: 4, score };
     }
-    return best ? [{ type: best.type, zone: best.zone, spot: best.spot, count: best.count }] : [];
+    return best ? [{ type: best.type, zone: best.zone, spot: best.spot, count: best.count, urgent: false }] : [];
   }
 
   /** Money is an objective: rent for what waits, the cheapest kind per task. */
@@ -556,8 +566,9 @@
         if (!o) break;
         const c = { type: o.type.name, zone: o.zone, spot: o.spot };
         const key = `${c.type}/${c.zone}/${c.spot}`;
-        const b = buy.get(key) ?? { ...c, count: 0 };
+        const b = buy.get(key) ?? { ...c, count: 0, urgent: false };
         b.count++;
+        b.urgent ||= d.rank >= TOP_RANK;
         buy.set(key, b);
         inZone.set(c.zone, (inZone.get(c.zone) ?? 0) + 1);
         free.push({ c, t: o.type, cpus: o.type.cpus, gpus: o.type.gpus, memory: o.type.memory });
--- a/packages/core/src/planner.ts
+++ b/packages/core/src/planner.ts
@@ -27,6 +27,8 @@
   private gatheredAt: Ms = -1e12;
   /** shares with work for accelerators that has no room */
   private readonly gangsWait = new Set<number>();
+  /** tasks of pressing services without a place, by share */
+  private readonly pressed = new Map<number, number>();
 
   constructor(
     private readonly cx: Context,
@@ -78,6 +80,9 @@
     const guar = this.order.guarantees();
     let weighed = 0;
     const queue = this.order.queue(guar, now);
+    this.pressed.clear();
+    for (const { j } of queue)
+      if (this.waitedOut(j)) this.pressed.set(j.share, (this.pressed.get(j.share) ?? 0) + j.pendingCount());
     this.work.unmet = [];
     let later = false;
     let open = rooms;
@@ -423,6 +428,7 @@
       take(room, j.need);
       this.work.place(j, index, this.work.attempt(j.share), room.machine, 'planned', now);
       this.addUse(use, j);
+      if (this.waitedOut(j)) this.pressed.set(j.share, (this.pressed.get(j.share) ?? 0) - 1);
       counts.set(room.machine.zone, (counts.get(room.machine.zone) ?? 0) + 1);
       can--;
       left--;
@@ -450,18 +456,23 @@
   private victim(p: Placement, j: Job, within: boolean, guar: Guarantees): boolean {
     if (p.stop !== null || p.phase === 'exited' || p.job === j) return false;
     const g = guar.get(p.job);
-    if (g?.firm && !this.pressing(j)) return false;
+    if (g?.firm && !this.pressing(j, p.machine)) return false;
     if (p.job.spec.rank < j.spec.rank) return true;
     if (!within || p.job.team === j.team || g === undefined || j.spec.gpus === 0) return false;
     return !g.within || p.job.spec.shape === 'array';
   }
 
   /**
-   * Services of the highest rank that found no room for a plan wait: when many machines are
-   * gone at once, they come before gangs that stand within a guarantee. Without this, 176
-   * replicas waited out a cut of 90 s while 24 machines trained on.
+   * When many machines are gone at once, services of the highest rank that found no room for a
+   * plan wait come before gangs that stand within a guarantee: where so many wait that they
+   * fill half of the machine at least. Without this, 176 replicas waited out a cut of 90 s
+   * while 24 machines trained on; for a few replicas, gangs that were stopped cost more.
    */
-  private pressing(j: Job): boolean {
+  private pressing(j: Job, m: Machine): boolean {
+    return m.cap !== null && this.waitedOut(j) && (this.pressed.get(j.share) ?? 0) * 2 >= copies(j.need, m.cap);
+  }
+
+  private waitedOut(j: Job): boolean {
     return (
       j.spec.rank === TOP_RANK &&
       j.spec.shape === 'service' &&
