--- a/packages/core/src/lead.ts
+++ b/packages/core/src/lead.ts
@@ -546,7 +546,7 @@
       inZone.set(z, (inZone.get(z) ?? 0) + 1);
     }
     for (const d of wants) {
-      let left = d.places;
+      let left = d.count;
       const fill = () => {
         for (const f of free) {
           if (left <= 0) return;
--- a/packages/core/src/order.ts
+++ b/packages/core/src/order.ts
@@ -81,17 +81,6 @@
     return out.sort((a, b) => a - b);
   }
 
-  /**
-   * How many of a waiting array's tasks one rented place can run in time, one after the other.
-   * Half of the time left counts: estimates are often wrong by as much. A place for each task
-   * of a burst is paid for its boot, a run and its idle time.
-   */
-  turns(j: Job, now: Ms): number {
-    if (j.spec.shape !== 'array' || j.spec.gpus > 0) return 1;
-    const spare = (this.dueOf(j, now) - now) / 2 - this.cx.table.bootMs(j);
-    return spare > 0 && spare < 1e6 ? 1 + Math.floor(spare / Math.max(1000, this.runMs(j))) : 1;
-  }
-
   private noneLeft(j: Job): Ms {
     return j.arrivedAt + (this.objectives.has(j.spec.cls) ? 1e7 : (j.spec.deadlineS ?? 600) * 1000);
   }
--- a/packages/core/src/owner.ts
+++ b/packages/core/src/owner.ts
@@ -289,11 +289,9 @@
       ].join('/');
       const waitS = (now - Math.max(u.job.arrivedAt, u.job.waitsSince)) / 1000;
       const slackS = Math.max(-1e4, Math.min(1e4, (this.order.dueOf(u.job, now) - now) / 1000));
-      const places = Math.ceil(u.count / this.order.turns(u.job, now));
       const old = demands.get(key);
       if (old) {
         old.count += u.count;
-        old.places += places;
         old.waitS = Math.max(old.waitS, waitS);
         old.slackS = Math.min(old.slackS, slackS);
         continue;
@@ -309,7 +307,6 @@
         rank: s.rank,
         within: u.within,
         count: u.count,
-        places,
         gang,
         waitS,
         slackS,
--- a/packages/wire/src/peer.ts
+++ b/packages/wire/src/peer.ts
@@ -29,8 +29,6 @@
   /** within the team's guarantee */
   within: boolean;
   count: number;
-  /** places worth having for them: tasks with time to spare can share one, each after the other */
-  places: number;
   gang: boolean;
   waitS: number;
   /** seconds until it should start, by its objectives */
@@ -109,7 +107,6 @@
         waitS: { type: 'double', id: 11 },
         slackS: { type: 'double', id: 12 },
         notZones: { rule: 'repeated', type: 'string', id: 13 },
-        places: { type: 'uint32', id: 14 },
       },
     },
     Share: {
