--- a/packages/api/src/index.ts
+++ b/packages/api/src/index.ts
@@ -1,6 +1,9 @@
 import http from 'node:http';
 import { MAX_BODY, PATHS, pack, parseReport, type Report, unpackMap } from '@archpost/wire';
 import express from 'express';
+import { Shedding } from './shedding.js';
+
+export { Shedding };
 
 /** What the edge hands on. Each carries the id that its answer must bear. */
 export type Request =
@@ -9,17 +12,29 @@
   | { kind: 'poll'; id: number; job: string }
   | { kind: 'cancel'; id: number; job: string };
 
+/** Questions about one job: what follows is its id, and nothing else. */
+const QUESTION = `${PATHS.jobs}/`;
+
+/** A connection that says nothing, or takes nothing, for this long is closed; workers report every few seconds. */
+const MUTE_MS = 10_000;
+const IDLE_MS = 75_000;
+
+/** The answer to who is refused at the door. */
+const OVERLOADED = { error: 'overloaded' };
+
 /** The HTTP interface to users and workers. */
 export class Api {
-  private readonly open = new Map<number, http.ServerResponse>();
+  private readonly open = new Map<number, { res: http.ServerResponse; job: string | null }>();
   private nextId = 1;
   readonly app: express.Express;
+  /** what was answered last: questions about one job share their answer, and its bytes */
+  private lastBody: unknown;
+  private lastBytes: Buffer = Buffer.alloc(0);
 
   constructor(
     private readonly handle: (r: Request) => void,
     private readonly healthy: () => boolean,
-    /** more is asked than can be done: users are refused at the door */
-    private readonly behind: () => boolean = () => false,
+    private readonly shedding: Shedding,
   ) {
     const app = express();
     this.app = app;
@@ -33,7 +48,8 @@
     app.post(PATHS.jobs, raw, (req, res) => {
       this.handle({ kind: 'submit', id: this.keep(res), body: Buffer.isBuffer(req.body) ? unpackMap(req.body) : null });
     });
-    app.get(`${PATHS.jobs}/:id`, (req, res) => this.handle({ kind: 'poll', id: this.keep(res), job: String(req.params.id) }));
+    // Most questions don't come this way: see `question`.
+    app.get(`${PATHS.jobs}/:id`, (req, res) => this.ask(res, String(req.params.id)));
     app.post(`${PATHS.jobs}/:id/cancel`, raw, (req, res) =>
       this.handle({ kind: 'cancel', id: this.keep(res), job: String(req.params.id) }),
     );
@@ -58,14 +74,17 @@
 
   listen(host: string, port: number): Promise<http.Server> {
     return new Promise((resolve, reject) => {
-      const server = http.createServer((req, res) => {
+      const server = http.createServer({ connectionsCheckingInterval: MUTE_MS / 2 }, (req, res) => {
         if (req.method === 'POST' && req.url === PATHS.report) this.report(req, res);
-        else if (req.url?.startsWith(PATHS.jobs) && this.behind()) this.refuse(req, res);
+        else if (req.method === 'GET' && req.url?.startsWith(QUESTION)) this.question(req, res);
+        else if (req.url?.startsWith(PATHS.jobs) && !this.shedding.request()) this.refuse(req, res);
         else this.app(req, res);
       });
       server.listen(port, host);
-      server.keepAliveTimeout = 75_000;
-      server.requestTimeout = 15_000;
+      server.keepAliveTimeout = IDLE_MS;
+      server.requestTimeout = MUTE_MS;
+      server.headersTimeout = MUTE_MS;
+      server.timeout = IDLE_MS;
       server.once('error', reject);
       server.once('listening', () => resolve(server));
     });
@@ -90,29 +109,50 @@
     });
   }
 
+  /**
+   * Nor do questions, which come eight times as often at times: the framework would cost each
+   * several times what is done for it. A path that isn't plain is left to it.
+   */
+  private question(req: http.IncomingMessage, res: http.ServerResponse): void {
+    const job = (req.url as string).slice(QUESTION.length);
+    if (/[^\w-]/.test(job)) return this.app(req, res);
+    req.resume();
+    this.ask(res, job);
+  }
+
+  private ask(res: http.ServerResponse, job: string): void {
+    if (this.shedding.question(job)) this.handle({ kind: 'poll', id: this.keep(res, job), job });
+    else this.reply(res, 503, OVERLOADED, 1);
+  }
+
   private refuse(req: http.IncomingMessage, res: http.ServerResponse): void {
     req.resume();
-    this.reply(res, 503, { error: 'overloaded' }, 1);
+    this.reply(res, 503, OVERLOADED, 1);
   }
 
-  private keep(res: http.ServerResponse): number {
+  private keep(res: http.ServerResponse, job: string | null = null): number {
     const id = this.nextId++;
-    this.open.set(id, res);
+    this.open.set(id, { res, job });
     res.once('close', () => this.open.delete(id));
     return id;
   }
 
   /** Answers a request that was handed on. */
   answer(id: number, status: number, body: unknown, retryAfterS?: number): void {
-    const res = this.open.get(id);
-    if (!res) return;
+    const asked = this.open.get(id);
+    if (!asked) return;
     this.open.delete(id);
-    this.reply(res, status, body, retryAfterS);
+    if (asked.job !== null && status !== 503) this.shedding.told(asked.job);
+    this.reply(asked.res, status, body, retryAfterS);
   }
 
   private reply(res: http.ServerResponse, status: number, body: unknown, retryAfterS?: number): void {
     if (res.headersSent || res.destroyed) return;
-    const bytes = pack(body);
+    if (body !== this.lastBody) {
+      this.lastBody = body;
+      this.lastBytes = pack(body);
+    }
+    const bytes = this.lastBytes;
     res.statusCode = status;
     res.setHeader('content-type', 'application/msgpack');
     res.setHeader('content-length', bytes.length);
--- a/packages/core/src/commands.ts
+++ b/packages/core/src/commands.ts
@@ -94,7 +94,7 @@
       // What is told to go without saving is gone before the next command.
       if (p.stop !== 0) take(free, p.job.need);
     }
-    if (now - this.cx.freshAt < this.work.staleMs()) {
+    if (now - this.cx.freshAt < this.work.staleMs() && !this.cx.settling()) {
       for (const p of m.placements.values()) {
         if (p.phase !== 'planned' || cmds.length > 60) continue;
         if (p.job.spec.shape === 'gang' ? !this.gangReady(p.job) : !fits(p.job.need, free)) continue;
--- a/packages/core/src/context.ts
+++ b/packages/core/src/context.ts
@@ -6,6 +6,8 @@
 
 export interface Peer {
   status: PeerStatus;
+  /** tasks that run and are done there, by job */
+  running: Map<string, { count: number; done: number; failed: number }>;
   at: Ms;
   up: boolean;
 }
@@ -26,6 +28,8 @@
   nextId(): number;
   leaseValid(now: Ms): boolean;
   storeOk(now: Ms): boolean;
+  /** this process stood still, and has read nothing since */
+  settling(): boolean;
   /** can workers be reached from here? */
   reach(): boolean;
   peerAlive(node: string, now: Ms): boolean;
--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -19,6 +19,14 @@
 /** How often a worker is sent to one that isn't, to try. */
 const TRY_MS = 250;
 
+/** After a pause decisions wait for news for so long; in an outage none come. */
+const SETTLE_MS = 3000;
+
+/** Each so many statuses tell of all jobs that run; a peer that missed a change has it within seconds. */
+const RUNNING_ALL_EACH = 5;
+
+type Running = ReturnType<Owner['running']>;
+
 /** What a keeper knows of a machine that reports to it. */
 interface Heard {
   report: Report;
@@ -186,6 +194,7 @@
       this.waiters = this.waiters.filter((w) => w.from > asOf);
       for (const w of due) w.run(now);
     }
+    this.desk.fresh(asOf);
     this.after(now);
   }
 
@@ -471,7 +480,12 @@
 
   peerStatus(status: PeerStatus, now: Ms): void {
     this.now = now;
-    this.peers.set(status.node, { status, at: now, up: true });
+    const running = status.runningAll ? new Map() : (this.peers.get(status.node)?.running ?? new Map());
+    for (const { job, ...r } of status.running) {
+      if (r.count > 0 || r.done > 0 || r.failed > 0) running.set(job, r);
+      else running.delete(job);
+    }
+    this.peers.set(status.node, { status, running, at: now, up: true });
     for (const h of status.heard) this.owner.reports.unchanged(h, now);
     this.after(now);
   }
@@ -486,7 +500,7 @@
   private statusByState(status: PeerStatus): void {
     if (status.node === this.settings.node || this.peerAlive(status.node, this.now)) return;
     if (!this.replica.loaded) return;
-    this.peers.set(status.node, { status, at: this.now, up: false });
+    this.peers.set(status.node, { status, running: this.peers.get(status.node)?.running ?? new Map(), at: this.now, up: false });
   }
 
   /**
@@ -503,6 +517,7 @@
     const status: PeerStatus = {
       ...full,
       running: [],
+      runningAll: false,
       heard: (this.heardLately(now).get(lead) ?? []).slice(0, 100),
       strangers: full.strangers.slice(0, 20),
     };
@@ -556,6 +571,10 @@
   /** To each other controller what concerns it: the lead alone decides over machines. */
   private tell(now: Ms): void {
     const full = this.status(now);
+    const all = this.owner.running();
+    full.runningAll = this.tells++ % RUNNING_ALL_EACH === 0;
+    full.running = full.runningAll ? [...all].map(([job, r]) => ({ job, ...r })) : this.runningChanged(all);
+    this.runningTold = all;
     const heard = this.heardLately(now);
     const lead = this.table.holder('lead')?.holder.node ?? null;
     for (const { name } of this.settings.nodes) {
@@ -569,6 +588,19 @@
     }
   }
 
+  /** With a swarm of small jobs all of them, each time, to everybody, would cost more than all else told. */
+  private runningChanged(all: Running): PeerStatus['running'] {
+    const out: PeerStatus['running'] = [];
+    for (const [job, r] of all) {
+      const old = this.runningTold.get(job);
+      if (old?.count !== r.count || old.done !== r.done || old.failed !== r.failed) out.push({ job, ...r });
+    }
+    for (const job of this.runningTold.keys()) if (!all.has(job)) out.push({ job, count: 0, done: 0, failed: 0 });
+    return out;
+  }
+
+  private runningTold: Running = new Map();
+  private tells = 0;
   private telling = false;
   private toldAt: Ms = -1e12;
 
@@ -576,7 +608,8 @@
     return {
       node: this.settings.node,
       shares: [...this.owner.held.keys()].map((s) => this.owner.share(s, now)),
-      running: this.owner.running(),
+      running: [],
+      runningAll: false,
       strangers: this.lead.strangersNow(now),
       heard: [],
       plenty: this.lead.leading ? this.lead.plenty() : [],
@@ -591,6 +624,35 @@
 
   // ---- time
 
+  /**
+   * This process stood still until now, for so long. Everybody else went on: what was silent
+   * meanwhile was not heard because of this, and says nothing about workers, peers or the state
+   * service. What is decided waits until news from after the pause are in (`settling`). Leases
+   * and the age of what was confirmed are not touched: they did run out.
+   */
+  paused(ms: Ms, now: Ms): void {
+    this.now = now;
+    this.log(ms > 3000 ? 'info' : 'debug', 'stood still', {
+      seconds: Math.round(ms / 100) / 10,
+      leaseStands: this.leaseValid(now),
+    });
+    this.pausedAt = now;
+    if (this.lease.permit !== null && now >= this.lease.validUntil) this.holdings.dropAll();
+    if (this.storeAt > 0) this.storeAt += ms;
+    for (const p of this.peers.values()) p.at += ms;
+    for (const h of this.heard.values()) h.at += ms;
+    for (const [machine, at] of this.served) this.served.set(machine, at + ms);
+    for (const [node, at] of this.table.absentSince) this.table.absentSince.set(node, at + ms);
+    this.holdings.paused(ms);
+    this.owner.paused(ms, now);
+  }
+
+  private pausedAt: Ms = -1e12;
+
+  settling(): boolean {
+    return this.freshAt < this.pausedAt && this.now - this.pausedAt < SETTLE_MS;
+  }
+
   tick(now: Ms): void {
     this.now = now;
     const late = this.waiters.filter((w) => now > w.until);
@@ -598,7 +660,7 @@
       this.waiters = this.waiters.filter((w) => now <= w.until);
       for (const w of late) w.late?.();
     }
-    if (this.waiters.length > 0) this.emit({ t: 'barrier' });
+    if (this.waiters.length > 0 || this.desk.asking) this.emit({ t: 'barrier' });
     if (this.lease.permit !== null && now >= this.lease.validUntil) this.holdings.dropAll();
     this.desk.tick(now);
     this.holdings.tick(now);
--- a/packages/core/src/desk.ts
+++ b/packages/core/src/desk.ts
@@ -12,6 +12,8 @@
 /** Bytes of a value left to what the record gets later, and to how the service counts. */
 const RECORD_SPARE = 256;
 
+const NO_SUCH_JOB = { error: 'no such job' };
+
 /** Users' requests, at any controller. */
 export class Desk {
   private open = 0;
@@ -98,6 +100,9 @@
 
   tick(now: Ms): void {
     while (this.timers.length > 0 && (this.timers[0] as { at: Ms }).at <= now) this.timers.shift()?.run();
+    let n = 0;
+    while (n < this.questions.length && now > (this.questions[n] as { at: Ms }).at + POLL_MS) n++;
+    for (const { id } of this.questions.splice(0, n)) this.busy(id, 'the state service does not answer');
   }
 
   private known(id: number, job: string, now: Ms): void {
@@ -121,41 +126,66 @@
     return this.counts(job).running > 0 ? 'running' : 'queued';
   }
 
-  private counts(job: Job): { done: number; running: number } {
+  private counts(job: Job): { done: number; running: number; failed: number } {
     let running = 0;
     for (const p of job.placements.values()) if (p.phase === 'there' && p.report?.state === 'running') running++;
     let done = job.doneCount;
+    let failed = job.brokenSince >= 0 ? job.failures : 0;
     if (running === 0) {
       for (const peer of this.cx.peers.values()) {
-        const r = peer.status.running.find((x) => x.job === job.spec.id);
+        const r = peer.running.get(job.spec.id);
         if (r) {
           running = Math.max(running, r.count);
           done = Math.max(done, r.done);
+          failed = Math.max(failed, r.failed);
         }
       }
     }
-    return { done: Math.min(done, job.spec.tasks), running };
+    return { done: Math.min(done, job.spec.tasks), running, failed };
   }
 
   poll(id: number, job: string, now: Ms): void {
     this.open++;
-    if (!JOB_ID.test(job)) return this.answer(id, 404, { error: 'no such job' });
+    if (!JOB_ID.test(job)) return this.answer(id, 404, NO_SUCH_JOB);
     const final = this.cx.table.finals.get(job);
     if (final) return this.answer(id, 200, this.finalAnswer(job, final));
     if (!this.cx.replica.loaded) return this.busy(id, 'not ready');
     if (!this.cx.storeOk(now)) return this.busy(id, 'the state service does not answer');
-    this.cx.afterBarrier(
-      now,
-      () => {
-        const state = this.state(job);
-        const j = this.cx.table.jobs.get(job);
-        if (state === 'done' || state === 'cancelled') this.answer(id, 200, this.finalAnswer(job, state));
-        else if (state && j) this.answer(id, 200, jobAnswer(job, state, this.counts(j)));
-        else this.answer(id, 404, { error: 'no such job' });
-      },
-      now + POLL_MS,
-      () => this.busy(id, 'the state service does not answer'),
-    );
+    this.questions.push({ id, job, at: now });
+    this.cx.emit({ t: 'barrier' });
+  }
+
+  /** Questions that wait for the replica to be as new as they are, in the order they came. */
+  private questions: { id: number; job: string; at: Ms }[] = [];
+
+  get asking(): boolean {
+    return this.questions.length > 0;
+  }
+
+  /**
+   * The replica holds everything that was so at `asOf`: what was asked by then is answered,
+   * all questions about one job alike. One reading serves however many they are.
+   */
+  fresh(asOf: Ms): void {
+    let n = 0;
+    while (n < this.questions.length && (this.questions[n] as { at: Ms }).at <= asOf) n++;
+    const answers = new Map<string, { status: number; body: unknown }>();
+    for (const { id, job } of this.questions.splice(0, n)) {
+      let a = answers.get(job);
+      if (!a) {
+        a = this.reading(job);
+        answers.set(job, a);
+      }
+      this.answer(id, a.status, a.body);
+    }
+  }
+
+  private reading(job: string): { status: number; body: unknown } {
+    const state = this.state(job);
+    const j = this.cx.table.jobs.get(job);
+    if (state === 'done' || state === 'cancelled') return { status: 200, body: this.finalAnswer(job, state) };
+    if (state && j) return { status: 200, body: jobAnswer(job, state, this.counts(j)) };
+    return { status: 404, body: NO_SUCH_JOB };
   }
 
   private finalAnswer(id: string, state: 'done' | 'cancelled') {
@@ -166,7 +196,7 @@
 
   cancel(id: number, job: string, now: Ms): void {
     this.open++;
-    if (!JOB_ID.test(job)) return this.answer(id, 404, { error: 'no such job' });
+    if (!JOB_ID.test(job)) return this.answer(id, 404, NO_SUCH_JOB);
     if (!this.cx.replica.loaded) return this.busy(id, 'not ready');
     if (!this.cx.storeOk(now)) return this.busy(id, 'the state service does not answer');
     this.tryCancel(id, job, now, now + SUBMIT_MS);
@@ -181,7 +211,7 @@
         now,
         (t) => {
           if (this.cx.replica.get(KEY.job(job))) this.tryCancel(id, job, t, until);
-          else this.answer(id, 404, { error: 'no such job' });
+          else this.answer(id, 404, NO_SUCH_JOB);
         },
         until,
         () => this.busy(id, 'the state service does not answer'),
--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -35,6 +35,12 @@
     private readonly work: Work,
   ) {}
 
+  /** Doubts of before a pause of this process start anew. */
+  paused(): void {
+    this.doubtSince = -1;
+    this.lostReachAt = -1;
+  }
+
   watchMachines(now: Ms): void {
     const silentMs = this.cx.settings.policy.silentS * 1000;
     this.judgeDoubt(now);
@@ -73,8 +79,10 @@
       }
       if (m.giveBack === '' && this.work.empty(m) && m.resolved && !m.dirty) {
         if (m.retire) this.giveUp(m, 'not needed');
-        else if (this.work.faulty(m)) this.giveUp(m, 'faulty');
-        else if (m.noticeUntil > 0) this.giveUp(m, 'spot notice');
+        else if (this.work.blame.faulty(m, now)) {
+          this.work.blame.convicted(m);
+          this.giveUp(m, 'faulty');
+        } else if (m.noticeUntil > 0) this.giveUp(m, 'spot notice');
         else if (m.moveTo >= 0) this.handOver(m);
       }
       if ((m.moveTo >= 0 || m.retire) && m.giveBack === '') this.work.vacate(m);
--- a/packages/core/src/holdings.ts
+++ b/packages/core/src/holdings.ts
@@ -68,6 +68,12 @@
     this.releasing.clear();
   }
 
+  /** Waiting for a holder to be gone starts where it was: its own time stood still. */
+  paused(ms: Ms): void {
+    for (const list of [this.absentSince, this.homeSeen, this.settledSince])
+      for (const [name, at] of list) list.set(name, at + ms);
+  }
+
   tick(now: Ms): void {
     const cx = this.cx;
     if (!cx.replica.loaded || !cx.leaseValid(now) || cx.lease.permit === null) return;
--- a/packages/core/src/lead.ts
+++ b/packages/core/src/lead.ts
@@ -156,7 +156,7 @@
     }
     this.grantStrangers(now);
     // A round weighs all machines: with many of them, rounds are rarer.
-    if (now - this.lastRound < 500 + this.cx.table.machines.size || now - this.cx.freshAt > 4000) return;
+    if (now - this.lastRound < 500 + this.cx.table.machines.size || now - this.cx.freshAt > 4000 || this.cx.settling()) return;
     this.lastRound = now;
     const shares = this.shares(now);
     this.move(shares, now);
--- a/packages/core/src/model.ts
+++ b/packages/core/src/model.ts
@@ -148,7 +148,15 @@
   notBefore: Ms = 0;
   /** since when some of its tasks have had no room; -1: all have */
   waitsSince: Ms = -1;
-  errors = new Set<string>();
+  /** machines that it failed on */
+  readonly failedOn = new Set<string>();
+  failures = 0;
+  /** since when it is taken to fail everywhere; -1: it isn't */
+  brokenSince: Ms = -1;
+  /** how often it was tried since, after each of its tasks had been */
+  retries = 0;
+  /** some of it ran for a while without failing */
+  wentWell = false;
   progressQueued = false;
   /** some of its tasks are done and not stored as such */
   progressDirty = true;
@@ -184,6 +192,7 @@
     return this.spec.tasks - this.doneCount - placedUndone;
   }
 
+  /** A task to place: the caller does so at once. */
   nextPending(): number {
     while (this.returned.length > 0) {
       const i = this.returned[this.returned.length - 1] as number;
@@ -191,12 +200,21 @@
       this.returned.pop();
     }
     while (this.cursor < this.spec.tasks) {
-      if (!this.done[this.cursor] && !this.placements.has(this.cursor)) return this.cursor;
-      this.cursor++;
+      const i = this.cursor++;
+      if (!this.done[i] && !this.placements.has(i)) return i;
     }
     return -1;
   }
 
+  /** What was never placed comes before what was. */
+  nextUntried(): number {
+    const returned = this.returned;
+    this.returned = [];
+    const index = this.nextPending();
+    this.returned = returned;
+    return index >= 0 ? index : this.nextPending();
+  }
+
   allPending(): number[] {
     const out: number[] = [];
     for (let i = 0; i < this.spec.tasks; i++) if (!this.done[i] && !this.placements.has(i)) out.push(i);
--- a/packages/core/src/order.ts
+++ b/packages/core/src/order.ts
@@ -52,9 +52,11 @@
       const left = j.spec.tasks - (j.spec.shape === 'array' ? j.doneCount : 0);
       s.cpus += j.spec.cpus * left;
       s.gpus += j.spec.gpus * left;
+      const promised = t.cpus > 0 || t.gpus > 0;
       const cpusOk = t.cpus <= 0 || s.cpus <= t.cpus + 1e-6;
       const gpusOk = t.gpus <= 0 || s.gpus <= t.gpus + 1e-6;
-      const within = cpusOk && gpusOk;
+      // A team without any guarantee has none to be within: a guest's work gives way to all others'.
+      const within = promised && cpusOk && gpusOk;
       const guarded = (t.cpus > 0 && j.spec.cpus > 0) || (t.gpus > 0 && j.spec.gpus > 0);
       out.set(j, { within, firm: within && guarded });
     }
@@ -123,7 +125,7 @@
   private postpone(queue: Waiting[], now: Ms): void {
     const shares = new Map<string, Waiting[]>();
     for (const w of queue) {
-      if (w.j.spec.shape !== 'array' || w.j.spec.gpus > 0) continue;
+      if (w.j.spec.shape !== 'array' || w.j.spec.gpus > 0 || this.work.blame.broken(w.j)) continue;
       const key = `${w.j.share}/${w.j.spec.rank}/${w.g.within}`;
       const list = shares.get(key);
       if (list) list.push(w);
--- a/packages/core/src/owner.ts
+++ b/packages/core/src/owner.ts
@@ -22,7 +22,6 @@
   private readonly records: Records;
   private readonly order: Order;
   private readonly planner: Planner;
-  private lastTick: Ms = 0;
   private lastSummary: Ms = 0;
 
   constructor(private readonly cx: Context) {
@@ -44,7 +43,14 @@
     for (const m of this.cx.table.machines.values()) if (m.share === share && m.suspect) return false;
     // Not the last plan's leftovers: it left out what it could not prove yet.
     for (const j of this.cx.table.jobs.values())
-      if (j.share === share && j.state === 'live' && j.spec.rank === TOP_RANK && j.pendingCount() > 0) return false;
+      if (
+        j.share === share &&
+        j.state === 'live' &&
+        j.spec.rank === TOP_RANK &&
+        !this.work.blame.broken(j) &&
+        j.pendingCount() > 0
+      )
+        return false;
     return true;
   }
 
@@ -145,16 +151,21 @@
     this.work.wantPlan = true;
   }
 
-  tick(now: Ms): void {
+  /** Time that this process itself lost says nothing about the workers. */
+  paused(ms: Ms, now: Ms): void {
     this.work.now = now;
-    // Time that this process itself lost says nothing about the workers.
-    const gap = now - this.lastTick;
-    if (this.lastTick > 0 && gap > 800) {
-      this.work.answeredAt = now;
-      this.work.unanswered.clear();
-      for (const m of this.cx.table.machines.values()) m.heardAt = Math.min(now, m.heardAt + gap - 300);
+    this.work.answeredAt = now;
+    this.work.unanswered.clear();
+    this.fleet.paused();
+    for (const m of this.cx.table.machines.values()) {
+      m.heardAt = Math.min(now, m.heardAt + ms);
+      m.elsewhereAt = Math.min(now, m.elsewhereAt + ms);
+      if (m.lostSince >= 0) m.lostSince = Math.min(now, m.lostSince + ms);
     }
-    this.lastTick = now;
+  }
+
+  tick(now: Ms): void {
+    this.work.now = now;
     this.fleet.seekReach(now);
     if (now - this.lastSummary > 10_000) {
       this.lastSummary = now;
@@ -162,7 +173,7 @@
     }
     if (this.work.held.size === 0 || !this.cx.leaseValid(now)) return;
     this.watchJobs(now);
-    this.fleet.watchMachines(now);
+    if (!this.cx.settling()) this.fleet.watchMachines(now);
     this.records.writeImages(now);
     this.planner.tick(now);
     this.commands.flushAll(now);
@@ -316,13 +327,15 @@
     return { share, machines, demands: [...demands.values()] };
   }
 
-  running(): { job: string; count: number; done: number }[] {
-    const out: { job: string; count: number; done: number }[] = [];
+  /** Tasks that run and are done, by job, and how often one failed of those that fail everywhere. */
+  running(): Map<string, { count: number; done: number; failed: number }> {
+    const out = new Map<string, { count: number; done: number; failed: number }>();
     for (const j of this.cx.table.jobs.values()) {
       if (!this.work.held.has(j.share)) continue;
       let count = 0;
       for (const p of j.placements.values()) if (p.phase === 'there' && p.report?.state === 'running') count++;
-      if (count > 0 || j.doneCount > 0) out.push({ job: j.spec.id, count, done: j.doneCount });
+      const failed = this.work.blame.broken(j) ? j.failures : 0;
+      if (count > 0 || j.doneCount > 0 || failed > 0) out.set(j.spec.id, { count, done: j.doneCount, failed });
     }
     return out;
   }
--- a/packages/core/src/planner.ts
+++ b/packages/core/src/planner.ts
@@ -42,7 +42,13 @@
    */
   tick(now: Ms): void {
     const again = this.unsettled && now - this.plannedAt >= REPLAN_MS;
-    if (!(this.work.wantPlan || again) || now < this.nextPlanAt || now - this.cx.freshAt >= this.work.staleMs()) return;
+    if (
+      !(this.work.wantPlan || again) ||
+      now < this.nextPlanAt ||
+      now - this.cx.freshAt >= this.work.staleMs() ||
+      this.cx.settling()
+    )
+      return;
     this.work.wantPlan = false;
     this.plannedAt = now;
     this.plan(now);
@@ -82,9 +88,11 @@
     const queue = this.order.queue(guar, now);
     this.pressed.clear();
     for (const { j } of queue)
-      if (this.waitedOut(j)) this.pressed.set(j.share, (this.pressed.get(j.share) ?? 0) + j.pendingCount());
+      if (this.waitedOut(j) && !this.work.blame.broken(j))
+        this.pressed.set(j.share, (this.pressed.get(j.share) ?? 0) + j.pendingCount());
     this.work.unmet = [];
     let later = false;
+    const broken: Job[] = [];
     let open = rooms;
     for (const { j, g, aged } of queue) {
       if (now < j.notBefore) {
@@ -92,8 +100,12 @@
         continue;
       }
       if (this.work.unproven(j)) continue;
+      if (this.work.blame.broken(j)) {
+        broken.push(j);
+        continue;
+      }
       weighed += rooms.length;
-      const mine = open.filter((r) => r.machine.share === j.share && allowed(j, r.machine) && !j.errors.has(r.machine.name));
+      const mine = open.filter((r) => r.machine.share === j.share && allowed(j, r.machine) && !j.failedOn.has(r.machine.name));
       const left =
         j.spec.shape === 'gang'
           ? this.planGang(j, g.within, mine, use, guar, now)
@@ -101,6 +113,8 @@
       if (left > 0) this.work.unmet.push({ job: j, count: left, within: g.within });
       if (aged && j.placements.size === 0) open = this.reserve(j, open, use);
     }
+    for (const j of broken) this.tryBroken(j, open, use, now);
+    later ||= broken.length > 0;
     this.nextPlanAt = now + Math.min(REPLAN_MS, weighed / WEIGHED_PER_MS);
     this.unsettled = later || this.work.unmet.length > 0;
     this.gangsWait.clear();
@@ -123,7 +137,7 @@
     const kept = new Set<Room>();
     for (const r of rooms) {
       if (lacks <= 0) break;
-      if (r.machine.share !== j.share || !allowed(j, r.machine) || j.errors.has(r.machine.name)) continue;
+      if (r.machine.share !== j.share || !allowed(j, r.machine) || j.failedOn.has(r.machine.name)) continue;
       const n = copies(j.need, r);
       if (n === 0) continue;
       kept.add(r);
@@ -577,6 +591,11 @@
         this.evict(v, r);
       }
     }
+    this.holdGang(j, spots, rooms, use, now);
+    return 0;
+  }
+
+  private holdGang(j: Job, spots: Machine[], rooms: Room[], use: { cpus: number; gpus: number }[], now: Ms): void {
     j.gangAttempt = this.work.attempt(j.share);
     j.gangFailed = false;
     const pending = j.allPending();
@@ -586,6 +605,33 @@
       this.work.place(j, pending[i] as number, j.gangAttempt, m, 'planned', now);
       this.addUse(use, j);
     });
-    return 0;
+  }
+
+  /**
+   * What fails everywhere is tried now and then, after all else and where there is room: nothing
+   * is stopped, moved or rented for it. Machines that have its image come first.
+   */
+  private tryBroken(j: Job, rooms: Room[], use: { cpus: number; gpus: number }[], now: Ms): void {
+    const mine = rooms.filter(
+      (r) => r.machine.share === j.share && allowed(j, r.machine) && j.spec.gpus > 0 === (r.machine.cap?.gpus ?? 0) > 0,
+    );
+    const n = Math.min(this.work.blame.tries(j, now), this.quotaLeft(j, use));
+    if (j.spec.shape === 'gang') {
+      if (j.gangAttempt !== 0 || j.placements.size > 0 || n < j.spec.tasks) return;
+      const spots = placeGang(j, n, mine, (r) => this.preference(j, r));
+      if (spots) this.holdGang(j, spots, mine, use, now);
+      return;
+    }
+    const counts = zoneCounts(j);
+    mine.sort((a, b) => Number(b.machine.images.has(j.image)) - Number(a.machine.images.has(j.image)));
+    for (let i = 0; i < n; i++) {
+      const room = mine.find((r) => fits(j.need, r) && zoneAllows(j, counts, r.machine.zone));
+      const index = room ? j.nextUntried() : -1;
+      if (!room || index < 0) return;
+      take(room, j.need);
+      this.work.place(j, index, this.work.attempt(j.share), room.machine, 'planned', now);
+      this.addUse(use, j);
+      counts.set(room.machine.zone, (counts.get(room.machine.zone) ?? 0) + 1);
+    }
   }
 }
--- a/packages/core/src/reports.ts
+++ b/packages/core/src/reports.ts
@@ -163,15 +163,11 @@
     this.work.wantPlan = true;
     if (t.why === 'done') {
       if (p.ranSince >= 0) j.ranS = Math.max(j.ranS, (now - p.ranSince) / 1000);
-      // What began before the last failure proves nothing about the machine since.
-      if (p.ranSince > m.lastErrorAt) {
-        m.errorJobs.clear();
-        m.errorTasks = 0;
-      }
+      this.work.blame.done(p);
       this.records.markDone(j, p.index);
       return;
     }
-    if (t.why === 'error') this.taskFailed(p, now);
+    if (t.why === 'error') this.work.blame.failed(p, now);
     if (t.why === 'unknown') j.notBefore = now + 1000;
     if (t.why === 'no_room') m.retryAt = Math.max(m.retryAt, now + 500);
     if (t.why !== 'stopped') {
@@ -190,25 +186,4 @@
       sum -= gb;
     }
   }
-
-  /** Faulty machines fail many jobs; bad jobs fail on many machines. */
-  private taskFailed(p: Placement, now: Ms): void {
-    const { job: j, machine: m } = p;
-    j.errors.add(m.name);
-    const badJob = j.errors.size >= 3 && j.doneCount === 0;
-    if (badJob) {
-      j.notBefore = now + Math.min(60_000, 2000 * 2 ** Math.min(6, j.errors.size - 3));
-    } else {
-      m.errorJobs.add(j.spec.id);
-      m.lastErrorAt = now;
-      if (j.doneCount > 0 && j.errors.size === 1) m.errorTasks++;
-      if (j.spec.shape === 'gang') j.notBefore = now + 300;
-    }
-    this.cx.log('info', 'task failed', {
-      task: `${j.spec.id}/${p.index}`,
-      machine: m.name,
-      jobMachines: j.errors.size,
-      machineJobs: m.errorJobs.size,
-    });
-  }
 }
--- a/packages/core/src/work.ts
+++ b/packages/core/src/work.ts
@@ -1,3 +1,4 @@
+import { Blame } from './blame.js';
 import type { Context } from './context.js';
 import type { Job, Machine, Ms, Placement } from './model.js';
 import { type Room, take } from './placement.js';
@@ -26,7 +27,11 @@
   /** what is left without room after the last plan */
   unmet: { job: Job; count: number; within: boolean }[] = [];
 
-  constructor(private readonly cx: Context) {}
+  readonly blame: Blame;
+
+  constructor(private readonly cx: Context) {
+    this.blame = new Blame(cx);
+  }
 
   mayAct(share: number, now: Ms): boolean {
     return this.held.has(share) && this.cx.leaseValid(now);
@@ -104,10 +109,6 @@
     for (const p of [...j.placements.values()]) this.stop(p, this.graceOf(j));
   }
 
-  faulty(m: Machine): boolean {
-    return m.errorJobs.size >= 2 || m.errorTasks >= 3;
-  }
-
   /** Its reports come, here or to another controller. */
   heardLately(m: Machine, now: Ms): boolean {
     return now - m.heardAt < 4000 || now - m.elsewhereAt < 5000;
@@ -122,7 +123,8 @@
       !m.retire &&
       m.giveBack === '' &&
       m.noticeUntil < 0 &&
-      !this.faulty(m) &&
+      !this.blame.faulty(m, now) &&
+      !this.blame.doubtful(m, now) &&
       m.lostCount === 0 &&
       now - m.heardAt < this.cx.settings.workers.reportS * 2500
     );
--- a/packages/server/src/inbox.ts
+++ b/packages/server/src/inbox.ts
@@ -1,19 +1,38 @@
+interface Waiting {
+  at: number;
+  run: () => void;
+  refuse: () => void;
+}
+
+/** So long between two inputs: this process stood still, or had no processor. */
+export const PAUSE_MS = 800;
+
+/** Users' requests, and then questions, that are taken before looking for anything more urgent. */
+const AT_ONCE = 4;
+
 /**
  * What waits to be decided, in the order the users wish for under overload: reports of
- * workers first, then the inputs that decisions are made of, then users' requests.
+ * workers first, then the inputs that decisions are made of, then submissions and cancellations, and
+ * users' questions last.
  */
 export class Inbox {
-  private readonly ranks: [(() => void)[], (() => void)[], { at: number; run: () => void; refuse: () => void }[]] = [[], [], []];
+  private readonly ranks: [(() => void)[], (() => void)[], Waiting[], Waiting[]] = [[], [], [], []];
   private scheduled = false;
+  /** when something was last taken */
+  last: number;
   /** inputs taken since the last look, by rank, and requests refused for their age */
-  private taken = { reports: 0, decisions: 0, requests: 0, refused: 0 };
+  private taken = { reports: 0, decisions: 0, requests: 0, questions: 0, refused: 0 };
 
   constructor(
     private readonly clock: () => number,
     private readonly afterEach: () => void,
     /** a user's request older than this is refused rather than carried out late */
     private readonly staleMs: number,
-  ) {}
+    /** this process stood still: told before anything else is taken */
+    private readonly paused: (ms: number) => void = () => {},
+  ) {
+    this.last = clock();
+  }
 
   report(run: () => void): void {
     this.ranks[0].push(run);
@@ -30,9 +49,14 @@
     this.wake();
   }
 
+  question(run: () => void, refuse: () => void): void {
+    this.ranks[3].push({ at: this.clock(), run, refuse });
+    this.wake();
+  }
+
   counts(): Inbox['taken'] {
     const t = this.taken;
-    this.taken = { reports: 0, decisions: 0, requests: 0, refused: 0 };
+    this.taken = { reports: 0, decisions: 0, requests: 0, questions: 0, refused: 0 };
     return t;
   }
 
@@ -45,24 +69,43 @@
   /** Reports all, then decisions all, then a few requests before looking for more. */
   drain(): void {
     this.scheduled = false;
+    this.look();
     for (const rank of [0, 1] as const) {
       const list = this.ranks[rank];
       if (rank === 0) this.taken.reports += list.length;
       else this.taken.decisions += list.length;
       this.ranks[rank] = [];
-      for (const run of list) run();
-    }
-    const now = this.clock();
-    for (const r of this.ranks[2].splice(0, 4)) {
-      if (now - r.at > this.staleMs) {
-        this.taken.refused++;
-        r.refuse();
-      } else {
-        this.taken.requests++;
-        r.run();
+      for (const run of list) {
+        this.look();
+        run();
       }
     }
+    const now = this.look();
+    for (const r of this.ranks[2].splice(0, AT_ONCE)) this.serve(r, now, 'requests');
+    if (this.ranks[2].length === 0) for (const r of this.ranks[3].splice(0, AT_ONCE)) this.serve(r, now, 'questions');
     this.afterEach();
     if (this.ranks.some((l) => l.length > 0)) this.wake();
   }
+  /**
+   * A timer wakes this every tenth of a second. Where far more time has passed, the process
+   * stood still, and whatever comes first afterwards (a timer, a report, an answer) must find
+   * its times put in order.
+   */
+  private look(): number {
+    const now = this.clock();
+    const gap = now - this.last;
+    this.last = now;
+    if (gap > PAUSE_MS) this.paused(gap);
+    return now;
+  }
+
+  private serve(r: Waiting, now: number, rank: 'requests' | 'questions'): void {
+    if (now - r.at > this.staleMs) {
+      this.taken.refused++;
+      r.refuse();
+    } else {
+      this.taken[rank]++;
+      r.run();
+    }
+  }
 }
--- a/packages/server/src/service.ts
+++ b/packages/server/src/service.ts
@@ -1,5 +1,5 @@
 import { randomUUID } from 'node:crypto';
-import { Api, type Request } from '@archpost/api';
+import { Api, type Request, Shedding } from '@archpost/api';
 import { Cloud } from '@archpost/cloud';
 import { Core, type Effect } from '@archpost/core';
 import { Peers } from '@archpost/peers';
@@ -8,14 +8,11 @@
 import { Workers } from '@archpost/workers';
 import type { Logger } from 'pino';
 import { interval } from 'rxjs';
-import { Inbox } from './inbox.js';
+import { Inbox, PAUSE_MS } from './inbox.js';
 import type { Settings } from './settings.js';
 
 const TICK_MS = 100;
 
-/** Timers this late: workers' reports wait too, so users are told to come back. */
-const BEHIND_MS = 500;
-
 /** Wires the core to its edges: inputs in, effects out. */
 export class Service {
   private readonly core: Core;
@@ -25,8 +22,7 @@
   private readonly peers: Peers;
   private readonly api: Api;
   private readonly inbox: Inbox;
-  /** how late timers fire, the worst of late: above some of it, more is asked than can be done */
-  private lateMs = 0;
+  private readonly shedding = new Shedding(steady);
 
   constructor(
     private readonly settings: Settings,
@@ -35,7 +31,12 @@
     const c = settings.core;
     const nodes = c.nodes.length;
     this.core = new Core(c, randomUUID().slice(0, 8));
-    this.inbox = new Inbox(steady, () => this.carryOut(), 1500);
+    this.inbox = new Inbox(
+      steady,
+      () => this.carryOut(),
+      1500,
+      (ms) => this.core.paused(ms, steady()),
+    );
     // Half of the time a cancellation has: rides out outages, leaves time to take over.
     const ttlMs = Math.round(Math.min(600, Math.max(1, c.workers.cancelS / 2)) * 1000);
     this.store = new StateStore(settings.state, 'a/', (c.state.rps * 0.9) / nodes, ttlMs, 0.002);
@@ -47,7 +48,7 @@
     this.api = new Api(
       (r) => this.request(r),
       () => this.core.ready,
-      () => this.lateMs > BEHIND_MS,
+      this.shedding,
     );
   }
 
@@ -71,7 +72,7 @@
     let due = steady() + TICK_MS;
     interval(TICK_MS).subscribe(() => {
       const now = steady();
-      this.lateMs = Math.max(now - due, this.lateMs / 2);
+      this.shedding.late(now - due);
       due = now + TICK_MS;
       inbox.decision(() => core.tick(steady()));
     });
@@ -94,18 +95,36 @@
       inbox.report(() => core.report(r.id, r.report, steady()));
       return;
     }
-    inbox.request(
-      () => {
-        if (r.kind === 'submit') core.submit(r.id, r.body, steady(), Date.now());
-        else if (r.kind === 'poll') core.poll(r.id, r.job, steady());
-        else core.cancel(r.id, r.job, steady());
-      },
-      () => this.api.answer(r.id, 503, { error: 'overloaded' }, 1),
-    );
+    const refuse = () => this.api.answer(r.id, 503, { error: 'overloaded' }, 1);
+    if (r.kind === 'poll') {
+      inbox.question(() => core.poll(r.id, r.job, steady()), refuse);
+      return;
+    }
+    inbox.request(() => {
+      if (r.kind === 'submit') core.submit(r.id, r.body, steady(), Date.now());
+      else core.cancel(r.id, r.job, steady());
+    }, refuse);
   }
 
   private carryOut(): void {
-    for (const e of this.core.drain()) this.effect(e);
+    // What was decided before a pause is not told to machines or the cloud after it: another
+    // controller may have decided since. Answers and writes go out: a late answer finds nobody,
+    // and a late write fails on its guards.
+    const decided = this.inbox.last;
+    for (const e of this.core.drain()) {
+      if (steady() - decided > PAUSE_MS && this.unsent(e)) continue;
+      this.effect(e);
+    }
+  }
+
+  /** Is it kept back? Then the core learns that it never left. */
+  private unsent(e: Effect): boolean {
+    const { core, inbox } = this;
+    if (e.t === 'command') inbox.decision(() => core.commandResult(e.id, { kind: 'refused' }, steady()));
+    else if (e.t === 'return') inbox.decision(() => core.returned(e.id, false, steady()));
+    else if (e.t === 'rent') inbox.decision(() => core.rented(e.id, { kind: 'unknown' }, steady()));
+    else return false;
+    return true;
   }
 
   private effect(e: Effect): void {
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -19,6 +19,9 @@
   return { host: addr.slice(0, cut), port: Number(addr.slice(cut + 1)) };
 }
 
+/** Timers that fire so much later than asked for: this process stood still, or had no processor. */
+const LATE_MS = 250;
+
 /** HTTP/1.1 to one address, on persistent connections, never pipelined. */
 export class Client {
   private readonly agent: http.Agent;
@@ -56,12 +59,19 @@
         finish(sent ? { kind: 'lost' } : { kind: 'refused' });
         req.destroy();
       };
-      const timer = setTimeout(fail, c.timeoutMs);
+      const due = steady() + c.timeoutMs;
+      // A timer that fires late has been waited for by answers too: they are looked at first.
+      let timer = setTimeout(() => {
+        if (steady() - due > LATE_MS) timer = setTimeout(fail, LATE_MS);
+        else fail();
+      }, c.timeoutMs);
       req.on('socket', (s) => {
         if (!s.connecting) sent = true;
         else
           s.once('connect', () => {
-            sent = true;
+            // This process stood still while it connected: what it wanted to say is out of date.
+            if (steady() > due) fail();
+            else sent = true;
           });
       });
       req.on('error', fail);
--- a/packages/wire/src/jobs.ts
+++ b/packages/wire/src/jobs.ts
@@ -83,8 +83,12 @@
   };
 }
 
-export function jobAnswer(id: string, state: JobState, counts?: { done: number; running: number }) {
-  return counts
-    ? { ref: id, status: STATE_TO_WIRE[state], done: counts.done, running: counts.running }
-    : { ref: id, status: STATE_TO_WIRE[state] };
+/** PROTOCOL's answer; of a job that fails everywhere it tells so in two fields more, which others ignore. */
+export function jobAnswer(id: string, state: JobState, counts?: { done: number; running: number; failed?: number }) {
+  const answer = { ref: id, status: STATE_TO_WIRE[state] };
+  if (!counts) return answer;
+  const { done, running, failed } = counts;
+  return failed
+    ? { ...answer, done, running, failed, note: 'its tasks fail on every machine that they start on' }
+    : { ...answer, done, running };
 }
--- a/packages/wire/src/peer.ts
+++ b/packages/wire/src/peer.ts
@@ -57,8 +57,9 @@
 export interface PeerStatus {
   node: string;
   shares: PeerShare[];
-  /** running tasks of jobs, for display */
-  running: { job: string; count: number; done: number }[];
+  /** running tasks of jobs, for display: of all that have any, or of those that changed */
+  running: { job: string; count: number; done: number; failed: number }[];
+  runningAll: boolean;
   /** machines without a grant whose workers reported here */
   strangers: { machine: string; addr: string; type: string; zone: string; spot: boolean }[];
   /** machines of the one it is told to that reported here within the last seconds */
@@ -121,6 +122,7 @@
         job: { type: 'string', id: 1 },
         count: { type: 'uint32', id: 2 },
         done: { type: 'uint32', id: 3 },
+        failed: { type: 'uint32', id: 4 },
       },
     },
     Stranger: {
@@ -186,6 +188,7 @@
         storeOk: { type: 'bool', id: 11 },
         writes: { type: 'uint32', id: 12 },
         hears: { type: 'uint32', id: 13 },
+        runningAll: { type: 'bool', id: 14 },
       },
     },
   },
--- a/test/edges.test.ts
+++ b/test/edges.test.ts
@@ -6,6 +6,7 @@
 import { Api } from '@archpost/api';
 import { Job, Machine, placeGang, Replica, type Room, URGENCY, Writer } from '@archpost/core';
 import { decodePeer, encodePeer, PATHS, pack, parseChanges, parseSubmission } from '@archpost/wire';
+import { Shedding } from '../packages/api/src/shedding.js';
 import { Inbox } from '../packages/server/src/inbox.js';
 import { loadSettings, SettingsError } from '../packages/server/src/settings.js';
 import { job, TYPES } from './stand-ins.js';
@@ -256,7 +257,7 @@
 });
 
 test('at the door: reports pass by, users are refused at once when more is asked than can be done', async () => {
-  let behind = false;
+  const shedding = new Shedding(() => 0);
   const seen: string[] = [];
   const api: Api = new Api(
     (r) => {
@@ -264,7 +265,7 @@
       api.answer(r.id, 200, {});
     },
     () => true,
-    () => behind,
+    shedding,
   );
   const server = await api.listen('127.0.0.1', 0);
   const { port } = server.address() as { port: number };
@@ -289,7 +290,7 @@
     assert.equal((await call(PATHS.report, new Uint8Array(64 * 1024 + 1))).status, 400, 'over 64 KiB');
     assert.equal((await call(PATHS.jobs, new Uint8Array(64 * 1024 + 1))).status, 400, 'over 64 KiB');
     assert.equal((await call(`${PATHS.jobs}/run-000001`)).status, 200);
-    behind = true;
+    shedding.late(2000);
     assert.deepEqual(await call(`${PATHS.jobs}/run-000001`), { status: 503, retry: '1' });
     assert.deepEqual(await call(PATHS.jobs, pack({})), { status: 503, retry: '1' });
     assert.equal((await call(PATHS.report, report)).status, 200, 'reports are taken all the same');
--- /dev/null
+++ b/test/ops.test.ts
@@ -0,0 +1,153 @@
+// What on call met: controllers that stand still, jobs that can only fail, guests, storms of questions.
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { CoreSettings } from '@archpost/core';
+import { Cluster, holderOf, job, kept, shareOf, smallCluster } from './stand-ins.js';
+
+const dead = (c: Cluster) => c.workers.filter((w) => w.dead).map((w) => w.name);
+const killed = (c: Cluster) => c.trace.filter((l) => l.includes('kills'));
+
+for (const seconds of [0.9, 6, 16, 19, 25, 45]) {
+  test(`the owner stands still for ${seconds} s: nothing runs twice or after its cancellation, no machine is thrown away`, () => {
+    const c = smallCluster(8);
+    c.submit(job('run-v', { shape: 'service', tasks: 2, rank: 3, cls: 'serve' }));
+    c.submit(job('run-c', { tasks: 3, estimateS: 500 }));
+    c.until('running', () => c.running('run-v') === 2 && c.running('run-c') === 3);
+    const owner = c.node(holderOf(c, shareOf(c, 'run-v')));
+    const other = c.nodes.find((n) => n !== owner);
+    assert.ok(other);
+    // Decided just before: starts and a write are under way when it stops.
+    c.submit(job('run-w', { tasks: 4, estimateS: 4 }));
+    owner.freeze();
+    c.cancel('run-c', other);
+    c.submit(job('run-x', { tasks: 4, estimateS: 4 }), other);
+    c.run(seconds);
+    owner.thaw();
+    c.until('the cancelled job is gone', () => c.on('run-c').length === 0, 36);
+    c.until('the rest is done', () => c.finished.size === 8, 60);
+    c.run(20);
+    assert.equal(c.running('run-v'), 2);
+    assert.deepEqual(dead(c), [], 'it did not hold its own sleep against the machines');
+    assert.deepEqual(killed(c), [], 'the others answered the workers');
+    assert.equal(c.ask('run-c'), 'aborted');
+    if (seconds === 25) kept(c, 'owner-stands-still');
+  });
+}
+
+test('after standing still, the lead and owner takes no share back by force, and gets its own once at rest', () => {
+  const c = smallCluster(8);
+  const lead = c.node(holderOf(c, 2));
+  const stamp = () => c.nodes[0]?.core.table.holder(2)?.stamp;
+  lead.freeze();
+  c.until('taken over', () => !['', lead.name].includes(c.nodes[0]?.core.table.holder(2)?.holder.node ?? ''), 40);
+  const during = stamp();
+  lead.thaw();
+  c.run(1);
+  assert.equal(stamp(), during, 'no fight for it');
+  c.until('home again', () => holderOf(c, 2) === lead.name, 40);
+  const home = stamp();
+  c.run(20);
+  assert.equal(stamp(), home);
+  assert.deepEqual(dead(c), []);
+});
+
+test('all controllers stand still for longer than a cancellation has: what was cancelled before is not started after', () => {
+  const c = smallCluster(6);
+  c.submit(job('run-s', { shape: 'service', tasks: 2, rank: 3, cls: 'serve' }));
+  c.until('running', () => c.running('run-s') === 2);
+  const owner = c.node(holderOf(c, shareOf(c, 'run-s')));
+  const other = c.nodes.find((n) => n !== owner);
+  assert.ok(other);
+  owner.freeze();
+  c.submit(job('run-l', { tasks: 4, estimateS: 5 }), other);
+  c.cancel('run-l', other);
+  for (const n of c.nodes) if (!n.frozen) n.freeze();
+  c.run(45);
+  for (const n of c.nodes) n.thaw();
+  c.run(40);
+  assert.ok(!c.trace.some((l) => l.includes('starts run-l')));
+  c.until('the service runs again', () => c.running('run-s') === 2, 60);
+});
+
+test('jobs that fail everywhere cost no machine, no room and no rental; they stay known, and a faulty machine is still found', () => {
+  const c = smallCluster(9);
+  const ids = ['run-b0', 'run-b1', 'run-b2', 'run-b3', 'run-b4', 'run-b5'];
+  for (const id of ids) {
+    c.mistaken.add(id);
+    c.submit(job(id, { tasks: id === 'run-b0' ? 30 : 1, estimateS: 5 }));
+  }
+  c.run(30);
+  assert.deepEqual(dead(c), [], 'no healthy machine is put aside');
+  const tried = new Set(c.trace.filter((l) => l.includes('starts run-b0/')).map((l) => l.split('/')[1]));
+  assert.equal(tried.size, 30, 'each of its tasks was tried');
+  const share = shareOf(c, 'run-b0');
+  const told = c.node(holderOf(c, share)).core.owner.share(share, c.now + 1000);
+  assert.deepEqual(told.demands, [], 'nothing is rented or moved for them');
+  for (const id of ids) {
+    const said: Record<string, unknown>[] = [];
+    c.nodes[0]?.poll(id, (_status, body) => said.push(body));
+    c.until('answered', () => said.length === 1, 6);
+    assert.ok(said[0]?.status === 'queued' || said[0]?.status === 'running');
+    assert.ok(Number(said[0]?.failed) >= 3 && String(said[0]?.note).includes('every machine'));
+  }
+  const before = c.trace.length;
+  c.submit(job('run-ok', { tasks: 18, estimateS: 3 }));
+  c.until('healthy work is not held up', () => c.finished.size === 18, 20);
+  c.run(10);
+  assert.ok(c.trace.slice(before).filter((l) => l.includes('starts run-b')).length < 20, 'they are tried now and then');
+  const bad = c.workers[0];
+  assert.ok(bad);
+  bad.fails = true;
+  for (let i = 0; i < 4; i++) c.submit(job(`run-h${i}`, { tasks: 8, estimateS: 3 }));
+  c.until('all done', () => c.finished.size === 18 + 32, 90);
+  assert.deepEqual(dead(c), [bad.name]);
+  for (const id of ids) c.cancel(id);
+  c.run(5);
+  for (const id of ids) assert.equal(c.ask(id), 'aborted');
+});
+
+test('a job that failed on faulty machines only recovers', () => {
+  const c = smallCluster(8);
+  for (const w of c.workers.slice(0, 4)) w.fails = true;
+  c.submit(job('run-r', { tasks: 8, estimateS: 3 }));
+  c.run(8);
+  for (const w of c.workers) w.fails = false;
+  c.until('done', () => c.ask('run-r') === 'done', 90);
+});
+
+const withGuest = (s: CoreSettings): CoreSettings => ({
+  ...s,
+  teams: [...s.teams, { name: 'guest', cpus: 0, cpusMax: 0, gpus: 0, gpusMax: 0 }],
+});
+
+test('a swarm of a guest team uses what is idle and gives way at once; its changes are few', () => {
+  const c = new Cluster(['n0', 'n1', 'n2'], withGuest);
+  for (let i = 0; i < 12; i++) c.machine(`m${i}`, 'small', i % 2 === 0 ? 'east' : 'west');
+  c.settle();
+  const changes = () => [...c.changes.values()].reduce((a, n) => a + n, 0);
+  const before = changes();
+  const guests = Array.from({ length: 60 }, (_, i) => `run-g${i}`);
+  for (const id of guests) c.submit(job(id, { team: 'guest', rank: 0, cpus: 1, memory: 2, estimateS: 8 }));
+  c.submit(job('run-first', { team: 'red', shape: 'service', tasks: 4, rank: 3, cls: 'serve' }));
+  c.until('others do not wait', () => c.running('run-first') === 4, 8);
+  c.until('the guests are served', () => guests.every((id) => c.finished.has(`${id}/0`)), 120);
+  c.run(5);
+  for (const id of guests) assert.equal(c.ask(id), 'done');
+  assert.ok(changes() - before < guests.length * 2.5 + 150, `${changes() - before} changes for ${guests.length} jobs`);
+});
+
+test('a storm of questions costs one reading, and everybody is answered', () => {
+  const c = smallCluster(4);
+  for (let i = 0; i < 10; i++) c.submit(job(`run-${i}`, { tasks: 1, estimateS: 600 }));
+  c.run(5);
+  const n = c.nodes[1];
+  assert.ok(n);
+  const said = new Map<string, number>();
+  for (let i = 0; i < 1000; i++) {
+    const id = i < 990 ? `run-${i % 10}` : `run-none-${i}`;
+    n.poll(id, (status) => said.set(`${id} ${status}`, (said.get(`${id} ${status}`) ?? 0) + 1));
+  }
+  c.run(1);
+  for (let i = 0; i < 10; i++) assert.equal(said.get(`run-${i} 200`), 99);
+  assert.equal([...said.keys()].filter((k) => k.endsWith(' 404')).length, 10);
+});
--- a/test/stand-ins.ts
+++ b/test/stand-ins.ts
@@ -296,7 +296,12 @@
           t.state = 'running';
       }
       if (t.state !== 'running') continue;
-      const over = this.fails ? 'error' : spec.shape !== 'service' && now - t.startedAt >= spec.estimateS * 1000 ? 'done' : null;
+      const over =
+        this.fails || this.cluster.mistaken.has(t.job)
+          ? 'error'
+          : spec.shape !== 'service' && now - t.startedAt >= spec.estimateS * 1000
+            ? 'done'
+            : null;
       if (!over) continue;
       t.state = 'exited';
       t.why = over;
@@ -317,8 +322,13 @@
       this.nextReport = cluster.now + 1000;
     };
     if (!node.up || cluster.cut(node.name, this.name)) return next();
+    if (node.frozen) {
+      // Nobody answers for 4 s; the report is read when the controller goes on.
+      this.target++;
+      this.nextReport = cluster.now + 5000;
+    }
     node.report(this.report(), (status, body) => {
-      if (this.dead || this.hung || session !== this.session) return;
+      if (this.dead || this.hung || session !== this.session || cluster.now - sentAt > 4000) return;
       if (cluster.deaf(node.name, this.name)) return next();
       if (status === 421 && typeof body.home === 'string') {
         this.target = cluster.nodes.findIndex((n) => n.name === body.home);
@@ -347,6 +357,10 @@
 export class Node {
   core: Core;
   up = true;
+  /** it stands still: nothing is read or sent, and its clock goes on */
+  frozen = false;
+  private frozenAt = 0;
+  private backlog: (() => void)[] = [];
   /** the state service refuses this node alone */
   refused = false;
   private permit: number | null = null;
@@ -369,6 +383,8 @@
   }
 
   crash(): void {
+    this.frozen = false;
+    this.backlog = [];
     this.up = false;
     this.cluster.note(`${this.name} crashes`);
   }
@@ -384,6 +400,30 @@
     this.cluster.note(`${this.name} restarts`);
   }
 
+  freeze(): void {
+    this.frozen = true;
+    this.frozenAt = this.cluster.now;
+    this.cluster.note(`${this.name} stands still`);
+  }
+
+  /** Goes on: what came meanwhile is read, oldest first, before anything new is known. */
+  thaw(): void {
+    this.frozen = false;
+    this.cluster.note(`${this.name} goes on`);
+    this.core.paused(this.cluster.now - this.frozenAt, this.cluster.now);
+    for (const input of this.backlog.splice(0)) input();
+    this.run();
+  }
+
+  private input(f: () => void): void {
+    if (this.frozen) {
+      this.backlog.push(f);
+      return;
+    }
+    f();
+    this.run();
+  }
+
   private wait(then: (status: number, body: Record<string, unknown>) => void): number {
     const id = this.nextAnswer++;
     this.answers.set(id, then);
@@ -392,27 +432,23 @@
 
   report(r: Report, then: (status: number, body: Record<string, unknown>) => void): void {
     const id = this.wait(then);
-    this.core.report(id, r, this.cluster.now);
-    this.run();
+    this.input(() => this.core.report(id, r, this.cluster.now));
   }
 
   submit(s: JobSpec, then: (status: number, body: Record<string, unknown>) => void): void {
-    this.core.submit(this.wait(then), submission(s), this.cluster.now, this.cluster.now);
-    this.run();
+    this.input(() => this.core.submit(this.wait(then), submission(s), this.cluster.now, this.cluster.now));
   }
 
   poll(id: string, then: (status: number, body: Record<string, unknown>) => void): void {
-    this.core.poll(this.wait(then), id, this.cluster.now);
-    this.run();
+    this.input(() => this.core.poll(this.wait(then), id, this.cluster.now));
   }
 
   cancel(id: string, then: (status: number, body: Record<string, unknown>) => void): void {
-    this.core.cancel(this.wait(then), id, this.cluster.now);
-    this.run();
+    this.input(() => this.core.cancel(this.wait(then), id, this.cluster.now));
   }
 
   tick(): void {
-    if (!this.up) return;
+    if (!this.up || this.frozen) return;
     const { now, state } = this.cluster;
     if (!this.cluster.stateDown && !this.refused) {
       if (now >= this.renewAt) {
@@ -442,9 +478,7 @@
     const { cluster, core } = this;
     const later = (ms: number, f: () => void) =>
       cluster.at(cluster.now + ms, () => {
-        if (!this.up || this.core !== core) return;
-        f();
-        this.run();
+        if (this.up && this.core === core) this.input(f);
       });
     if (e.t === 'answer') {
       const then = this.answers.get(e.id);
@@ -487,16 +521,17 @@
       const copy: PeerStatus = structuredClone(e.status);
       const n = cluster.node(e.to);
       if (n.up && !cluster.cut(this.name, n.name)) {
-        n.core.peerStatus(copy, cluster.now);
-        n.run();
+        n.input(() => n.core.peerStatus(copy, cluster.now));
       }
     } else if (e.t === 'relay') {
       cluster.relays++;
       const n = cluster.node(e.to);
       if (n.up && !cluster.cut(this.name, n.name)) {
-        n.core.relayed(structuredClone(e.report), cluster.now);
-        n.run();
+        const report = structuredClone(e.report);
+        n.input(() => n.core.relayed(report, cluster.now));
       }
+    } else if (e.t === 'barrier') {
+      cluster.barriers++;
     } else if (e.t === 'return') {
       if (cluster.cloudDown) return later(100, () => core.returned(e.id, false, cluster.now));
       for (const name of e.machines) cluster.remove(name);
@@ -517,6 +552,8 @@
   readonly specs = new Map<string, JobSpec>();
   readonly cancelledAt = new Map<string, number>();
   readonly finished = new Set<string>();
+  /** jobs submitted with a mistake: their tasks fail wherever they start */
+  readonly mistaken = new Set<string>();
   stateDown = false;
   cloudDown = false;
   /** says whether a transaction's answer is lost; `apply` carries it out, now or later */
@@ -532,6 +569,8 @@
   statuses = 0;
   /** changes sent to the state service, by the kind of key */
   readonly changes = new Map<string, number>();
+  /** readings of the state service that were asked for */
+  barriers = 0;
   /** questions under way to workers, the most at once at any controller */
   mostAsked = 0;
   trace: string[] = [];
