A lease that was renewed goes on; a lead and a share don't both go to one controller

Cause: after an outage longer than the lease, holders dropped their shares and claimed them anew, and asked all machines; and after a crash of the lead's controller one took both of its holdings (it counted what it held, not what it was claiming), 1.4 s after the key was gone. Now a renewed lease resumes (its keys can't have been taken), claims under way count, and the wait is 0.2 s where the home controller is not seen.

--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -217,6 +217,12 @@
       return;
     }
     if (this.lease.permit !== null && this.lease.permit !== permit) this.leaseLost();
+    // It was renewed, so it never ended and nobody can have taken what is attached to it: what is
+    // held goes on. An outage longer than the lease cost all machines a round of questions before.
+    else if (this.lease.permit === permit && now >= this.lease.validUntil) {
+      this.log('info', 'state lease stands after all', { seconds: Math.round((now - this.lease.validUntil) / 1000) });
+      this.owner.paused(now - this.lease.validUntil, now);
+    }
     this.storeAt = now;
     this.lease.permit = permit;
     this.lease.validUntil = validUntil;
@@ -637,7 +643,6 @@
       leaseStands: this.leaseValid(now),
     });
     this.pausedAt = now;
-    if (this.lease.permit !== null && now >= this.lease.validUntil) this.holdings.dropAll();
     if (this.storeAt > 0) this.storeAt += ms;
     for (const p of this.peers.values()) p.at += ms;
     for (const h of this.heard.values()) h.at += ms;
@@ -661,7 +666,6 @@
       for (const w of late) w.late?.();
     }
     if (this.waiters.length > 0 || this.desk.asking) this.emit({ t: 'barrier' });
-    if (this.lease.permit !== null && now >= this.lease.validUntil) this.holdings.dropAll();
     this.desk.tick(now);
     this.holdings.tick(now);
     this.owner.tick(now);
--- a/packages/core/src/holdings.ts
+++ b/packages/core/src/holdings.ts
@@ -18,6 +18,7 @@
 export class Holdings {
   private readonly absentSince = new Map<string, Ms>();
   private readonly writing = new Set<string>();
+  private readonly claiming = new Set<string>();
   /** stamp under which each holding is ours */
   readonly mine = new Map<string, number>();
   private releasing = new Set<string>();
@@ -80,7 +81,6 @@
     const me = cx.settings.node;
     if (!cx.reach()) this.releaseShares(now);
     this.sign(now);
-    const count = this.mine.size;
     for (const name of this.names()) {
       const cur = cx.table.holders.get(name);
       if (cur) {
@@ -96,7 +96,9 @@
       // A live home node claims first; the others in turn, those with the least to hold first.
       const rank = cx.settings.nodes.findIndex((n) => n.name === me);
       const home = this.home(name);
-      const wait = home === me ? 0 : (this.mayHold(home, now) ? 3000 : 1000) + 400 * count + 150 * rank;
+      // What is being claimed counts as held, so that a lead and a share don't go to one together.
+      const count = this.mine.size + this.claiming.size;
+      const wait = home === me ? 0 : (this.mayHold(home, now) ? 3000 : 200) + 400 * count + 150 * rank;
       if (now - since >= wait) this.claim(name, 0, now);
     }
     this.giveHome(now);
@@ -123,6 +125,7 @@
     const cx = this.cx;
     if (this.writing.has(name) || now - cx.freshAt > 3000) return;
     this.writing.add(name);
+    if (guard === 0) this.claiming.add(name);
     cx.writer.add({
       key: KEY.holding(name === 'lead' ? 'lead' : Number(name)),
       value: () => ({ node: cx.settings.node, boot: cx.boot }),
@@ -130,7 +133,10 @@
       leased: true,
       urgency: URGENCY.holding,
       until: now + 5000,
-      done: () => this.writing.delete(name),
+      done: () => {
+        this.writing.delete(name);
+        this.claiming.delete(name);
+      },
     });
   }
 
