Boots judged by what their type took lately; kinds that fail are asked for with back-off

A machine counted as coming for two and a half times its nominal boot, whatever others took, and kinds that never came up were asked for again like all others.

--- a/packages/core/src/lead.ts
+++ b/packages/core/src/lead.ts
@@ -1,4 +1,5 @@
 import type { Listed, MachineType, PeerDemand, PeerMachine, PeerShare } from '@archpost/wire';
+import { Boots } from './boots.js';
 import type { Context } from './context.js';
 import { type Machine, type Ms, type Need, SCARCE_AFTER_S, TOP_RANK } from './model.js';
 import type { Owner } from './owner.js';
@@ -84,6 +85,8 @@
   private readonly goneAt = new Map<string, Ms>();
   private readonly returns = new Map<number, string[]>();
   private readonly moves = new Map<string, Ms>();
+  private readonly boots = new Boots();
+  private readonly failingKinds = new Set<string>();
   private nextRentAt: Ms = 0;
   private readonly movedAt = new Map<string, Ms>();
   private clearedAt: Ms = -1e12;
@@ -213,6 +216,8 @@
     }
     for (const s of all.values()) {
       this.granting.add(s.machine);
+      const age = this.ageOf(s.machine, now);
+      if (age !== null) this.boots.up(s, age, now);
       const share = this.shareInNeed(s, wants) ?? this.shareFor(s.type);
       this.pendingGrants.set(s.machine, { share, type: s.type, zone: s.zone, spot: s.spot, at: now });
       writer.add({
@@ -435,16 +440,30 @@
     return m;
   }
 
+  /** How long ago it was asked for, as far as is known. */
+  private ageOf(machine: string, now: Ms): Ms | null {
+    const b = this.booting.get(machine);
+    if (b) return now - b.at;
+    const l = this.listed.get(machine);
+    return l ? l.ageS * 1000 + (now - this.listAt) : null;
+  }
+
+  private bootLimitMs(type: string, now: Ms): Ms {
+    return this.boots.limitMs(type, this.typeOf(type)?.bootS ?? 60, now);
+  }
+
   /** Room that is on its way: rented machines that nobody has been granted yet. */
   private onTheWay(now: Ms): { type: string; zone: string; spot: boolean }[] {
     const out: { type: string; zone: string; spot: boolean }[] = [];
+    const late: Listed[] = [];
     for (const b of this.booting.values()) out.push(b);
     for (const b of this.bookings.values()) for (let i = 0; i < b.count; i++) out.push(b);
     for (const l of this.listed.values()) {
       if (l.state === 'failed' || this.cx.table.machines.has(l.machine) || this.goneAt.has(l.machine)) continue;
-      const boot = this.typeOf(l.type)?.bootS ?? 60;
-      if (l.ageS + (now - this.listAt) / 1000 < boot * 2.5) out.push(l);
+      if (l.ageS * 1000 + (now - this.listAt) < this.bootLimitMs(l.type, now)) out.push(l);
+      else late.push(l);
     }
+    this.boots.setLate(late);
     return out;
   }
 
@@ -463,7 +482,8 @@
       if (this.bookings.size >= BOOKINGS || (max !== null && held >= max)) return;
       if (!first && !want.urgent) continue;
       first = false;
-      const count = Math.max(1, Math.min(want.count, 50, max === null ? 50 : max - held));
+      const most = this.fails(want, now) ? 2 : 50;
+      const count = Math.max(1, Math.min(want.count, most, max === null ? 50 : max - held));
       held += count;
       const id = this.cx.nextId();
       const request = `r-${this.stamp}-${++this.counter}`;
@@ -578,6 +598,16 @@
     return [...buy.values()];
   }
 
+  private fails(k: { type: string; zone: string; spot: boolean }, now: Ms): boolean {
+    const fails = this.boots.failing(k, this.bootLimitMs(k.type, now), now);
+    const name = `${k.type}/${k.zone}/${k.spot}`;
+    if (fails === this.failingKinds.has(name)) return fails;
+    if (fails) this.failingKinds.add(name);
+    else this.failingKinds.delete(name);
+    this.cx.log('info', fails ? 'machines of a kind do not come up' : 'machines of a kind come up again', { ...k });
+    return fails;
+  }
+
   /** The kind of machine that serves most of these tasks for the money, if any is worth it. */
   private cheapestFor(d: PeerDemand, left: number, cheapest: number, inZone: Map<string, number>, now: Ms) {
     let best: { type: MachineType; zone: string; spot: boolean; score: number } | null = null;
@@ -590,7 +620,9 @@
       if (d.gpus === 0 && d.rank < 2 && hourly / o.type.cpus > 3 * cheapest && d.slackS > o.type.bootS + 25) continue;
       // What boots in a zone that is cut off is of no use until the cut is over.
       const late = this.owner.fleet.cut(o.zone) ? 10 : 1;
-      const score = (hourly / Math.min(n, left)) * (1 + 0.001 * (inZone.get(o.zone) ?? 0)) * late;
+      // Where boots fail, what boots well is worth more, while there is any.
+      const fails = this.fails({ type: o.type.name, zone: o.zone, spot: o.spot }, now) ? 2 : 1;
+      const score = (hourly / Math.min(n, left)) * (1 + 0.001 * (inZone.get(o.zone) ?? 0)) * late * fails;
       if (!best || score < best.score) best = { ...o, score };
     }
     return best;
@@ -606,6 +638,8 @@
       mk.filled = !b.spot && r.machines.length >= b.count;
       mk.refusals = r.machines.length < b.count ? 1 : 0;
       mk.notBefore = r.machines.length < b.count ? now + 15_000 : now;
+      // A kind whose boots fail is asked for again now and then only.
+      if (this.fails(b, now)) mk.notBefore = now + this.bootLimitMs(b.type, now) / 2;
     } else if (r.kind === 'full') {
       mk.refusals++;
       mk.filled = false;
@@ -631,10 +665,9 @@
     const back: string[] = [];
     for (const l of this.listed.values()) {
       if (this.cx.table.machines.has(l.machine) || this.granting.has(l.machine)) continue;
-      const boot = this.typeOf(l.type)?.bootS ?? 60;
       const age = l.ageS + (now - this.listAt) / 1000;
       const gone = this.goneAt.get(l.machine);
-      if (l.state === 'failed' || age > boot * 3 + 20) {
+      if (l.state === 'failed' || age > (2 * this.bootLimitMs(l.type, now)) / 1000) {
         if (gone !== undefined && now - gone < 60_000) continue;
         back.push(l.machine);
       }
