Machines with short tasks of the lowest rank are told of several at once

Cause: 25,000 tasks of seconds cost a command and its answer each; an incident took 255 s of processor time. Starts of the lowest rank go out once a second to a machine, what is only to be cleared away every three. What was stopped or failed is cleared at once, since its place waits.

--- a/packages/core/src/commands.ts
+++ b/packages/core/src/commands.ts
@@ -11,6 +11,10 @@
  */
 const ASKS_PER_TICK = 32;
 
+/** Starts of the lowest rank, and what is only to be cleared away, go out this often to a machine. */
+const LOW_STARTS_MS = 1000;
+const FORGETS_MS = 3000;
+
 /**
  * Who is asked first: what answered so far, then what bears the most urgent work as far as is
  * heard, then by turns. In the order of their names, a hundred machines of a cut zone were
@@ -103,7 +107,25 @@
         started.push(p);
       }
     }
-    if (cmds.length > 0) this.send(m, cmds, started, false);
+    if (cmds.length > 0 && !this.canWait(m, cmds, started, now)) this.send(m, cmds, started, false);
+  }
+
+  /**
+   * Machines that run short tasks of low rank are told of several at once: with a command and
+   * its answer for each, a swarm of them took what processor time there was.
+   */
+  private canWait(m: Machine, cmds: Command[], started: Placement[], now: Ms): boolean {
+    if (cmds.some((c) => c.op === 'stop') || started.some((p) => p.job.spec.rank > 0)) return false;
+    if (started.length > 0) return now - m.toldAt < LOW_STARTS_MS;
+    // What would be empty without them may be wanted elsewhere.
+    if (m.moveTo >= 0 || m.retire || m.noticeUntil >= 0) return false;
+    let bears = false;
+    for (const p of m.placements.values()) {
+      // What was stopped or failed can't start again before it is cleared away.
+      if (p.phase === 'exited' && p.report?.why !== 'done') return false;
+      bears ||= p.phase === 'there';
+    }
+    return bears && now - m.toldAt < FORGETS_MS;
   }
 
   /** Starts go out once every member has room in the held plan. */
@@ -126,6 +148,7 @@
     // Marked before anything leaves: from here on the tasks may be there.
     for (const p of sent) p.phase = 'sent';
     m.inflight = id;
+    m.toldAt = this.work.now;
     m.ask = false;
     if (probe) {
       m.lastAskAt = this.work.now;
--- a/packages/core/src/model.ts
+++ b/packages/core/src/model.ts
@@ -242,6 +242,8 @@
   dirty = false;
   bumping = false;
   inflight = 0;
+  /** when it was last told something */
+  toldAt: Ms = -1e12;
   retryAt: Ms = 0;
   heardAt: Ms = 0;
   /** when another controller last said that it hears it */
