Fewer readings of the state service, and swarms weighed once a kind, not each

Users' questions wait up to 0.35 s for the watch; what found no room stands for larger work of its kind; all jobs are gone over three times a second, not ten.

--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -129,7 +129,7 @@
   /** Runs once the replica holds everything that was so when this was called. */
   afterBarrier(now: Ms, run: (now: Ms) => void, until = Number.POSITIVE_INFINITY, late?: () => void): void {
     this.waiters.push({ from: now, run, until, late });
-    this.emit({ t: 'barrier' });
+    this.emit({ t: 'barrier', soon: true });
   }
 
   gained(holding: string, stamp: number): void {
@@ -198,10 +198,6 @@
     this.after(now);
   }
 
-  get barrierWanted(): boolean {
-    return this.waiters.length > 0;
-  }
-
   txnResult(id: number, r: Parameters<Writer['result']>[1], now: Ms): void {
     this.now = now;
     if (r.kind !== 'refused' && r.kind !== 'unknown') this.storeAt = now;
@@ -665,7 +661,7 @@
       this.waiters = this.waiters.filter((w) => now <= w.until);
       for (const w of late) w.late?.();
     }
-    if (this.waiters.length > 0 || this.desk.asking) this.emit({ t: 'barrier' });
+    if (this.waiters.length > 0 || this.desk.asking) this.emit({ t: 'barrier', soon: this.waiters.length > 0 });
     this.desk.tick(now);
     this.holdings.tick(now);
     this.owner.tick(now);
--- a/packages/core/src/desk.ts
+++ b/packages/core/src/desk.ts
@@ -152,7 +152,7 @@
     if (!this.cx.replica.loaded) return this.busy(id, 'not ready');
     if (!this.cx.storeOk(now)) return this.busy(id, 'the state service does not answer');
     this.questions.push({ id, job, at: now });
-    this.cx.emit({ t: 'barrier' });
+    if (this.questions.length === 1) this.cx.emit({ t: 'barrier', soon: false });
   }
 
   /** Questions that wait for the replica to be as new as they are, in the order they came. */
--- a/packages/core/src/model.ts
+++ b/packages/core/src/model.ts
@@ -63,7 +63,8 @@
 /** What the core wants done. The edges carry it out and feed the outcome back in. */
 export type Effect =
   | { t: 'txn'; id: number; guards: Guard[]; writes: Write[] }
-  | { t: 'barrier' }
+  /** the replica is to be read anew; soon: others than users' questions wait for it */
+  | { t: 'barrier'; soon: boolean }
   | { t: 'command'; id: number; machine: string; addr: string; token: number; session: number; commands: Command[] }
   /** asks a worker for its report, to see whether workers can be reached from here */
   | { t: 'ask'; id: number; addr: string }
--- a/packages/core/src/order.ts
+++ b/packages/core/src/order.ts
@@ -125,7 +125,8 @@
   private postpone(queue: Waiting[], now: Ms): void {
     const shares = new Map<string, Waiting[]>();
     for (const w of queue) {
-      if (w.j.spec.shape !== 'array' || w.j.spec.gpus > 0 || this.work.blame.broken(w.j)) continue;
+      // Of the lowest rank there may be hundreds, and others' room to wait for: they go as they came.
+      if (w.j.spec.rank === 0 || w.j.spec.shape !== 'array' || w.j.spec.gpus > 0 || this.work.blame.broken(w.j)) continue;
       const key = `${w.j.share}/${w.j.spec.rank}/${w.g.within}`;
       const list = shares.get(key);
       if (list) list.push(w);
--- a/packages/core/src/owner.ts
+++ b/packages/core/src/owner.ts
@@ -10,6 +10,9 @@
 import { Reports } from './reports.js';
 import { Work } from './work.js';
 
+/** All jobs are gone over this often for what time alone brings: plans to release, completions to store. */
+const JOBS_MS = 300;
+
 /** What is told of a share is worked out anew after this long. */
 const TOLD_MS = 400;
 
@@ -23,6 +26,7 @@
   private readonly order: Order;
   private readonly planner: Planner;
   private lastSummary: Ms = 0;
+  private jobsAt: Ms = -1e12;
 
   constructor(private readonly cx: Context) {
     this.work = new Work(cx);
@@ -172,7 +176,10 @@
       this.summary(now);
     }
     if (this.work.held.size === 0 || !this.cx.leaseValid(now)) return;
-    this.watchJobs(now);
+    if (now - this.jobsAt >= JOBS_MS) {
+      this.jobsAt = now;
+      this.watchJobs(now);
+    }
     if (!this.cx.settling()) this.fleet.watchMachines(now);
     this.records.writeImages(now);
     this.planner.tick(now);
@@ -211,12 +218,12 @@
   }
 
   private watchJobs(now: Ms): void {
-    for (const j of [...this.cx.table.jobs.values()]) {
+    for (const j of this.cx.table.jobs.values()) {
       if (!this.work.held.has(j.share)) continue;
       if (j.state === 'live') this.records.storeProgress(j);
       else this.cx.table.dropFinal(j);
       if (j.spec.shape === 'gang' && j.gangAttempt !== 0 && !j.gangFailed) this.watchGang(j, now);
-      for (const p of [...j.placements.values()]) {
+      for (const p of j.placements.values()) {
         if (j.spec.shape !== 'gang' && p.phase === 'planned' && now - p.plannedAt > this.cx.settings.policy.planWaitS * 1000) {
           this.work.free(p);
         }
--- a/packages/core/src/planner.ts
+++ b/packages/core/src/planner.ts
@@ -87,6 +87,7 @@
     let weighed = 0;
     const queue = this.order.queue(guar, now);
     this.pressed.clear();
+    this.full.clear();
     for (const { j } of queue)
       if (this.waitedOut(j) && !this.work.blame.broken(j))
         this.pressed.set(j.share, (this.pressed.get(j.share) ?? 0) + j.pendingCount());
@@ -104,13 +105,20 @@
         broken.push(j);
         continue;
       }
+      if (this.noRoomFor(j, g.within)) {
+        this.work.unmet.push({ job: j, count: j.pendingCount(), within: g.within });
+        continue;
+      }
       weighed += rooms.length;
       const mine = open.filter((r) => r.machine.share === j.share && allowed(j, r.machine) && !j.failedOn.has(r.machine.name));
       const left =
         j.spec.shape === 'gang'
           ? this.planGang(j, g.within, mine, use, guar, now)
           : this.planTasks(j, g.within, mine, use, guar, now);
-      if (left > 0) this.work.unmet.push({ job: j, count: left, within: g.within });
+      if (left > 0) {
+        this.work.unmet.push({ job: j, count: left, within: g.within });
+        this.foundNoRoom(j, g.within);
+      }
       if (aged && j.placements.size === 0) open = this.reserve(j, open, use);
     }
     for (const j of broken) this.tryBroken(j, open, use, now);
@@ -146,6 +154,33 @@
     return kept.size === 0 ? rooms : rooms.filter((r) => !kept.has(r));
   }
 
+  /**
+   * What found no room in this plan, smallest first found: of a swarm of small jobs that are all
+   * alike, one is weighed, not each. Only what may go anywhere and stops nothing is left out so:
+   * work of the lowest rank beyond any guarantee.
+   */
+  private readonly full = new Map<string, Need[]>();
+
+  private kindOf(j: Job, within: boolean): string | null {
+    const s = j.spec;
+    if (s.rank > 0 || within || s.shape !== 'array' || s.gpus > 0 || s.oneZone || s.spread || j.failedOn.size > 0) return null;
+    return `${j.share}/${j.team}/${j.zone}/${s.spot}/${j.types?.join(',') ?? ''}`;
+  }
+
+  private noRoomFor(j: Job, within: boolean): boolean {
+    const kind = this.kindOf(j, within);
+    if (kind === null) return false;
+    return this.full.get(kind)?.some((n) => n.cpus <= j.spec.cpus && n.memory <= j.spec.memory) ?? false;
+  }
+
+  private foundNoRoom(j: Job, within: boolean): void {
+    const kind = this.kindOf(j, within);
+    if (kind === null) return;
+    const list = this.full.get(kind);
+    if (list) list.push(j.need);
+    else this.full.set(kind, [j.need]);
+  }
+
   private quotaLeft(j: Job, use: { cpus: number; gpus: number }[]): number {
     const t = this.cx.settings.teams[j.team];
     const u = use[j.team];
@@ -519,6 +554,8 @@
   }
 
   private evictFor(j: Job, within: boolean, rooms: Room[], guar: Guarantees, now: Ms): Room | null {
+    // Nothing stands below it.
+    if (j.spec.rank === 0 && (!within || j.spec.gpus === 0)) return null;
     let best: { r: Room; v: Placement[]; c: number } | null = null;
     for (const r of rooms) {
       const v = this.victimsOn(j, within, r, guar, now);
--- a/packages/server/src/service.ts
+++ b/packages/server/src/service.ts
@@ -135,7 +135,7 @@
         this.api.answer(e.id, e.status, e.body, e.retryAfterS);
         break;
       case 'barrier':
-        this.store.barrier();
+        this.store.barrier(e.soon);
         break;
       case 'txn':
         void this.store.txn(e.guards, e.writes).then((r) => back(() => core.txnResult(e.id, r, steady())));
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -31,6 +31,9 @@
 export const WATCH_S = 2.5;
 const WATCH_MS = WATCH_S * 1000;
 
+/** Questions wait for the watch this long, of the two seconds that users give them. */
+const LAZY_MS = 350;
+
 /** Connections to the state service: watch, barrier, lease, transactions, and calls that hang. */
 export const STATE_SOCKETS = 16;
 
@@ -42,7 +45,11 @@
   private readonly client: Client;
   private readonly budget: Budget;
   private revision = 0;
-  private barrierWanted = false;
+  /** when a reading was asked for last, and by when it is to begin */
+  private wantedAt = -1;
+  private wantedBy = Number.POSITIVE_INFINITY;
+  /** the newest reading that was answered began then */
+  private readAt = -1;
   private barrierBusy = false;
   private barrierAt = 0;
   private readonly pauseMs: number;
@@ -144,27 +151,36 @@
     const page = r.status === 200 && r.body ? parseChanges(r.body) : null;
     if (!page) return 'failed';
     if (page.revision > this.revision) this.revision = page.revision;
+    if (asOf > this.readAt) this.readAt = asOf;
     this.changes$.next({ changes: page.changes, revision: page.revision, asOf });
     return 'ok';
   }
 
-  /** Reads once more, newer than this call. Calls are batched. */
-  barrier(): void {
-    this.barrierWanted = true;
+  /**
+   * Reads once more, newer than this call. Calls are batched. What can wait a moment is mostly
+   * answered by the watch, which is opened anew after each change.
+   */
+  barrier(soon: boolean): void {
+    this.wantedAt = steady();
+    this.wantedBy = Math.min(this.wantedBy, this.wantedAt + (soon ? 0 : LAZY_MS));
     if (this.barrierBusy || this.revision === 0) return;
     this.barrierBusy = true;
     void this.barrierLoop();
   }
 
   private async barrierLoop(): Promise<void> {
-    while (this.barrierWanted) {
-      const wait = this.barrierAt + 1.5 * this.pauseMs - steady();
-      if (wait > 0) await sleep(wait);
-      this.barrierWanted = false;
+    while (this.wantedAt > this.readAt) {
+      const wait = Math.max(this.barrierAt + 1.5 * this.pauseMs, this.wantedBy) - steady();
+      if (wait > 0) {
+        await sleep(Math.min(wait, 1.5 * this.pauseMs));
+        continue;
+      }
+      this.wantedBy = Number.POSITIVE_INFINITY;
       this.barrierAt = steady();
       const r = await this.read(0, 1200);
       if (r === 'failed') await sleep(200);
     }
+    this.wantedBy = Number.POSITIVE_INFINITY;
     this.barrierBusy = false;
   }
 
