A worker that bears work is answered before it is sent back to its zone's controller

Now it is answered first and sent with its next report. A machine heard by others though its zone's controller is here is asked at once, since perhaps nothing reaches it. Tests for pauses that fail without their guards.

--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -298,7 +298,7 @@
     // Workers stay with a controller of their own zone: a cut between zones then costs
     // them nothing, where finding another controller could take longer than their lease.
     const near = this.nearNode(r.zone, holder, now);
-    if (near !== this.settings.node && this.maySend(r.machine, near, now)) {
+    if (near !== this.settings.node && this.mayLeave(r, now) && this.maySend(r.machine, near, now)) {
       this.toWorker(id, 421, goHome(near));
       return;
     }
@@ -390,6 +390,15 @@
     return true;
   }
 
+  /**
+   * A worker that bears work and comes from elsewhere got no answer there, and part of its lease
+   * is gone: it is answered here first and sent with its next report, so that trying the other
+   * controller once more costs it no lease.
+   */
+  private mayLeave(r: Report, now: Ms): boolean {
+    return r.tasks.length === 0 || now - (this.served.get(r.machine) ?? -1e12) < 2000 * this.settings.workers.reportS;
+  }
+
   /** Workers answered here lately. */
   private hears(now: Ms): number {
     for (const [machine, at] of this.served) if (now - at > 2 * this.settings.workers.reportS * 1000) this.served.delete(machine);
--- a/packages/core/src/reports.ts
+++ b/packages/core/src/reports.ts
@@ -85,6 +85,8 @@
     // What is older than what came here is a late copy there.
     if (m.resolved && (h.session < m.session || (h.session === m.session && h.seq < m.seq))) return;
     m.elsewhereAt = now;
+    // Workers of our own zone report here, unless this controller or the machine is apart.
+    if (this.cx.table.zoneNames.name(m.zone) === this.cx.settings.zone) this.doubt(m, now);
     if (!m.resolved || h.session !== m.session || h.seq <= m.seq) return;
     if (m.seq < h.whole) {
       // The report that it refers to did not come here.
--- a/test/apart.test.ts
+++ b/test/apart.test.ts
@@ -368,3 +368,22 @@
   );
   assert.equal(c.running('run-k'), 60);
 });
+
+test('a worker whose controller has lost its workers is answered by another before it is sent back', () => {
+  const c = cluster(8);
+  c.submit(job('run-p', { shape: 'service', tasks: 16, rank: 3, cls: 'serve' }));
+  c.until('running', () => c.running('run-p') === 16);
+  c.run(6);
+  c.trace = [];
+  // The west's controller answers nobody for a while, still hears others, and seems well to them.
+  const west = (x: string) => c.workers.find((w) => w.name === x)?.zone === 'west';
+  c.cut = (a, b) => (a === 'n1' && west(b)) || (b === 'n1' && west(a));
+  c.run(12);
+  c.cut = () => false;
+  const back = c.workers.filter((w) => w.zone === 'west');
+  c.until('home again', () => back.every((w) => c.nodes[w.target % 3]?.name === 'n1'), 90);
+  assert.deepEqual(
+    c.trace.filter((l) => l.includes('lease over')),
+    [],
+  );
+});
--- a/test/ops.test.ts
+++ b/test/ops.test.ts
@@ -34,6 +34,62 @@
   });
 }
 
+test('what came while the owner stood still is lost: it asks its machines, and throws none away', () => {
+  const c = smallCluster(8);
+  c.submit(job('run-v', { shape: 'service', tasks: 2, rank: 3, cls: 'serve' }));
+  c.until('running', () => c.running('run-v') === 2);
+  const owner = c.node(holderOf(c, shareOf(c, 'run-v')));
+  owner.freeze();
+  c.run(16);
+  owner.thaw(true);
+  c.run(20);
+  assert.deepEqual(dead(c), []);
+  assert.equal(c.running('run-v'), 2);
+});
+
+test('a machine that was silent for a moment, and then while its owner stood still, is not given up', () => {
+  const c = smallCluster(12);
+  c.submit(job('run-v', { shape: 'service', tasks: 2, rank: 3, cls: 'serve' }));
+  c.until('running', () => c.running('run-v') === 2);
+  const owner = c.node(holderOf(c, shareOf(c, 'run-v')));
+  const mine = [...owner.core.table.machines.values()].filter((m) => m.share === shareOf(c, 'run-v'));
+  const w = c.workers.find((x) => mine.some((m) => m.name === x.name) && !c.on('run-v').includes(x.name));
+  assert.ok(w);
+  w.hung = true;
+  c.run(3);
+  c.submit(job('run-k', { tasks: 2, estimateS: 60 }));
+  c.until('a command is under way', () => mine.some((m) => m.name !== w.name && m.inflight !== 0), 5);
+  owner.freeze();
+  c.run(6.5);
+  owner.thaw();
+  c.run(1);
+  w.hung = false;
+  c.run(10);
+  assert.deepEqual(dead(c), []);
+});
+
+test('nothing is started after a pause before what is new has been read', () => {
+  const c = smallCluster(2);
+  c.submit(job('run-a', { tasks: 4, estimateS: 4 }));
+  c.until('full', () => c.running('run-a') === 4);
+  c.submit(job('run-z', { tasks: 4, estimateS: 4 }));
+  c.run(0.5);
+  const owner = c.node(holderOf(c, shareOf(c, 'run-z')));
+  const other = c.nodes.find((n) => n !== owner);
+  assert.ok(other);
+  owner.freeze();
+  c.cancel('run-z', other);
+  c.run(6);
+  // It goes on with room for the cancelled job and old news of it; the state service is slow.
+  owner.refused = true;
+  owner.thaw();
+  c.run(6);
+  owner.refused = false;
+  c.run(10);
+  assert.equal(c.finished.size, 4);
+  assert.ok(!c.trace.some((l) => l.includes('starts run-z')));
+});
+
 test('after standing still, the lead and owner takes no share back by force, and gets its own once at rest', () => {
   const c = smallCluster(8);
   const lead = c.node(holderOf(c, 2));
@@ -78,6 +134,7 @@
   }
   c.run(30);
   assert.deepEqual(dead(c), [], 'no healthy machine is put aside');
+  for (const n of c.nodes) for (const m of n.core.table.machines.values()) assert.equal(m.errorJobs.size, 0, 'nor blamed');
   const tried = new Set(c.trace.filter((l) => l.includes('starts run-b0/')).map((l) => l.split('/')[1]));
   assert.equal(tried.size, 30, 'each of its tasks was tried');
   const share = shareOf(c, 'run-b0');
@@ -106,6 +163,23 @@
   for (const id of ids) assert.equal(c.ask(id), 'aborted');
 });
 
+test('what a job that fails everywhere cast on machines is taken back', () => {
+  const c = smallCluster(3);
+  c.mistaken.add('run-b');
+  c.submit(job('run-b', { tasks: 6, estimateS: 3 }));
+  c.run(8);
+  c.submit(job('run-good', { tasks: 12, estimateS: 3 }));
+  c.until('some done', () => c.finished.size >= 4, 30);
+  c.run(1);
+  const w = c.workers.find((x) => [...x.tasks.values()].some((t) => t.job === 'run-good' && t.state === 'running'));
+  assert.ok(w);
+  w.fails = true;
+  c.run(0.1);
+  w.fails = false;
+  c.until('done', () => c.finished.size === 12, 60);
+  assert.deepEqual(dead(c), [], 'one failure of a good job is no proof');
+});
+
 test('a job that failed on faulty machines only recovers', () => {
   const c = smallCluster(8);
   for (const w of c.workers.slice(0, 4)) w.fails = true;
@@ -136,6 +210,33 @@
   assert.ok(changes() - before < guests.length * 2.5 + 150, `${changes() - before} changes for ${guests.length} jobs`);
 });
 
+test('a guest is within no guarantee: its gangs stop none of equal rank, not even above their guarantee', () => {
+  const c = new Cluster(['n0', 'n1', 'n2'], withGuest);
+  c.machine('g0', 'big', 'east');
+  c.machine('g1', 'big', 'east');
+  c.settle();
+  const train = { shape: 'gang' as const, gpus: 8, cpus: 40, memory: 100, estimateS: 200, rank: 1 };
+  c.submit(job('run-0', { ...train, team: 'red' }));
+  c.submit(job('run-1', { ...train, team: 'red' }));
+  c.until('both run', () => c.running('run-0') + c.running('run-1') === 2, 40);
+  c.submit(job('run-guest', { ...train, team: 'guest' }));
+  c.run(60);
+  assert.equal(c.running('run-0') + c.running('run-1'), 2);
+});
+
+test('machines with short tasks of the lowest rank are told of several at once', () => {
+  const c = new Cluster(['n0', 'n1', 'n2'], withGuest);
+  for (let i = 0; i < 6; i++) c.machine(`m${i}`, 'small', i % 2 === 0 ? 'east' : 'west');
+  c.settle();
+  c.submit(job('run-tiles', { team: 'guest', rank: 0, tasks: 2000, cpus: 0.5, memory: 1, estimateS: 0.7 }));
+  c.run(10);
+  const before = c.commands;
+  const done = c.finished.size;
+  c.run(20);
+  assert.ok(c.finished.size - done > 200, 'they are served');
+  assert.ok(c.commands - before <= 6 * 20 * 1.1, `${c.commands - before} commands`);
+});
+
 test('a storm of questions costs one reading, and everybody is answered', () => {
   const c = smallCluster(4);
   for (let i = 0; i < 10; i++) c.submit(job(`run-${i}`, { tasks: 1, estimateS: 600 }));
--- a/test/stand-ins.ts
+++ b/test/stand-ins.ts
@@ -406,9 +406,10 @@
     this.cluster.note(`${this.name} stands still`);
   }
 
-  /** Goes on: what came meanwhile is read, oldest first, before anything new is known. */
-  thaw(): void {
+  /** Goes on: what came meanwhile is read, oldest first, before anything new is known; or it is lost. */
+  thaw(lost = false): void {
     this.frozen = false;
+    if (lost) this.backlog = [];
     this.cluster.note(`${this.name} goes on`);
     this.core.paused(this.cluster.now - this.frozenAt, this.cluster.now);
     for (const input of this.backlog.splice(0)) input();
@@ -496,6 +497,7 @@
       later(10, () => core.txnResult(e.id, r, cluster.now));
     } else if (e.t === 'command') {
       const question = e.commands.length === 0 ? 1 : 0;
+      cluster.commands += 1 - question;
       this.asked += question;
       cluster.mostAsked = Math.max(cluster.mostAsked, this.asked);
       const w = cluster.worker(e.machine);
@@ -569,8 +571,9 @@
   statuses = 0;
   /** changes sent to the state service, by the kind of key */
   readonly changes = new Map<string, number>();
-  /** readings of the state service that were asked for */
+  /** readings of the state service that were asked for, and commands with something in them */
   barriers = 0;
+  commands = 0;
   /** questions under way to workers, the most at once at any controller */
   mostAsked = 0;
   trace: string[] = [];
