--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -6,6 +6,7 @@
 import { Lead } from './lead.js';
 import type { CoreSettings, Effect, Level, Ms } from './model.js';
 import { Owner } from './owner.js';
+import type { Rentals } from './rentals.js';
 import { Replica } from './replica.js';
 import { KEY, Table } from './table.js';
 import { URGENCY, Writer } from './writer.js';
@@ -155,7 +156,7 @@
   }
 
   plenty(type: string): boolean {
-    if (this.lead.leading) return this.lead.plenty().includes(type);
+    if (this.lead.leading) return this.lead.rentals.plenty().includes(type);
     for (const p of this.peers.values()) if (p.status.lead) return p.status.plenty.includes(type);
     return false;
   }
@@ -170,7 +171,7 @@
     if (c.machine) {
       if (c.machine.share < 0) {
         this.lead.machineGone(c.machine.name, this.now);
-        this.lead.placeFree(c.machine, this.now);
+        this.lead.rentals.placeFree(c.machine, this.now);
       }
       this.owner.machineChanged(c.machine, c.moved === true, this.now);
     }
@@ -472,18 +473,18 @@
 
   listed(machines: Listed[] | null, now: Ms): void {
     this.now = now;
-    this.lead.list(machines, now);
+    this.lead.rentals.list(machines, this.lead.leading, now);
   }
 
-  rented(id: number, r: Parameters<Lead['rented']>[1], now: Ms): void {
+  rented(id: number, r: Parameters<Rentals['rented']>[1], now: Ms): void {
     this.now = now;
-    this.lead.rented(id, r, now);
+    this.lead.rentals.rented(id, r, now);
     this.after(now);
   }
 
   returned(id: number, ok: boolean, now: Ms): void {
     this.now = now;
-    if (!this.lead.returned(id, ok, now)) this.owner.fleet.returned(id, ok, now);
+    if (!this.lead.rentals.returned(id, ok, now)) this.owner.fleet.returned(id, ok, now);
     this.after(now);
   }
 
@@ -623,7 +624,7 @@
       runningAll: false,
       strangers: this.lead.strangersNow(now),
       heard: [],
-      plenty: this.lead.leading ? this.lead.plenty() : [],
+      plenty: this.lead.leading ? this.lead.rentals.plenty() : [],
       lead: this.lead.leading,
       entitled: this.mayKeep(now),
       reach: this.owner.fleet.reach,
