The lowest rank lives on what is idle and cheap; nothing dear is rented for it

Now cheap ones at once, ordinary ones without accelerators after a minute, dear ones never. Tests: what is rented for a guest; boots; fairness of what is refused in a storm.

--- a/packages/core/src/rentals.ts
+++ b/packages/core/src/rentals.ts
@@ -12,6 +12,9 @@
   urgent: boolean;
 }
 
+/** Work of the lowest rank that found no room for so long gets ordinary machines too. */
+const LOW_RANK_S = 60;
+
 /** Rentals under way at once. */
 const BOOKINGS = 3;
 
@@ -315,6 +318,10 @@
       const hourly = o.spot ? o.type.spotPrice : o.type.price;
       // Work that can wait doesn't take a dear machine: a cheap one may come free in time.
       if (d.gpus === 0 && d.rank < 2 && hourly / o.type.cpus > 3 * cheapest && d.slackS > o.type.bootS + 25) continue;
+      // The lowest rank lives on what is idle and what is cheap; an ordinary machine only so that it
+      // begins at all, and none with accelerators.
+      const dear = hourly / o.type.cpus > (o.type.gpus > 0 ? 1 : 3) * cheapest;
+      if (d.rank === 0 && d.gpus === 0 && (dear || (!o.spot && d.waitS < LOW_RANK_S))) continue;
       // What boots in a zone that is cut off is of no use until the cut is over.
       const late = this.cutZone(o.zone) ? 10 : 1;
       // Where boots fail, what boots well is worth more, while there is any.
--- a/test/ops.test.ts
+++ b/test/ops.test.ts
@@ -2,6 +2,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { CoreSettings } from '@archpost/core';
+import { Shedding } from '../packages/api/src/shedding.js';
+import { Boots } from '../packages/core/src/boots.js';
 import { Cluster, holderOf, job, kept, shareOf, smallCluster } from './stand-ins.js';
 
 const dead = (c: Cluster) => c.workers.filter((w) => w.dead).map((w) => w.name);
@@ -224,6 +226,44 @@
   assert.equal(c.running('run-0') + c.running('run-1'), 2);
 });
 
+test('for work of the lowest rank only what is cheap is rented, and nothing dear ever', () => {
+  const c = new Cluster(['n0', 'n1', 'n2'], (s) => ({
+    ...withGuest(s),
+    policy: { ...s.policy, hold: false, maxMachines: null },
+  }));
+  for (let i = 0; i < 3; i++) c.machine(`m${i}`, 'small', 'east');
+  c.settle();
+  c.rents.length = 0;
+  const start = c.now;
+  c.submit(job('run-low', { team: 'guest', rank: 0, tasks: 200, cpus: 1, memory: 2, estimateS: 400, spot: true }));
+  c.run(150);
+  const soon = c.rents.filter((r) => r.at - start < 55_000);
+  assert.ok(soon.length > 0 && soon.every((r) => r.spot), 'cheap ones at first');
+  assert.ok(
+    c.rents.some((r) => !r.spot && r.type === 'small'),
+    'ordinary ones so that it begins',
+  );
+  assert.ok(
+    c.rents.every((r) => r.spot || r.type === 'small'),
+    'no dear one',
+  );
+});
+
+test('a machine is late by what its type took lately, and a kind that never comes up is told', () => {
+  const boots = new Boots();
+  const kind = { type: 'small', zone: 'east', spot: false };
+  assert.equal(boots.limitMs('small', 50, 0), 80_000, 'one and a half times is usual');
+  boots.up(kind, 100_000, 10_000);
+  assert.equal(boots.limitMs('small', 50, 20_000), 130_000, 'all take longer at the moment');
+  assert.equal(boots.limitMs('small', 50, 400_000), 80_000, 'that is over');
+  boots.up(kind, 2000, 400_000);
+  assert.equal(boots.limitMs('small', 50, 401_000), 80_000, 'some are up in a moment: the others are not late for it');
+  boots.setLate([kind, kind]);
+  assert.ok(!boots.failing(kind, 80_000, 410_000), 'one came up a moment ago');
+  assert.ok(boots.failing(kind, 80_000, 490_000));
+  assert.ok(!boots.failing({ ...kind, zone: 'west' }, 80_000, 490_000), 'elsewhere it goes well');
+});
+
 test('machines with short tasks of the lowest rank are told of several at once', () => {
   const c = new Cluster(['n0', 'n1', 'n2'], withGuest);
   for (let i = 0; i < 6; i++) c.machine(`m${i}`, 'small', i % 2 === 0 ? 'east' : 'west');
@@ -252,3 +292,28 @@
   for (let i = 0; i < 10; i++) assert.equal(said.get(`run-${i} 200`), 99);
   assert.equal([...said.keys()].filter((k) => k.endsWith(' 404')).length, 10);
 });
+
+test('what is refused in a storm is fair: no job goes unanswered for long, and no submission pays for it', () => {
+  let now = 0;
+  const door = new Shedding(() => now);
+  const last = new Map<string, number>();
+  let asked = 0;
+  let answered = 0;
+  let longest = 0;
+  for (now = 0; now < 120_000; now += 10) {
+    // Timers are somewhat late all the while, and far too late for a while.
+    if (now % 100 === 0) door.late(now > 40_000 && now < 60_000 ? 900 : 250);
+    const id = `run-${(now / 10) % 100}`;
+    asked++;
+    if (door.question(id)) {
+      answered++;
+      door.told(id);
+      longest = Math.max(longest, now - (last.get(id) ?? 0));
+      last.set(id, now);
+    }
+    if (now < 40_000) assert.ok(door.request());
+  }
+  assert.ok(answered < asked / 3, `${answered} of ${asked} answered`);
+  assert.equal(last.size, 100);
+  assert.ok(longest < 35_000, `a job went without an answer for ${longest} ms`);
+});
--- a/test/stand-ins.ts
+++ b/test/stand-ins.ts
@@ -539,8 +539,10 @@
       for (const name of e.machines) cluster.remove(name);
       later(100, () => core.returned(e.id, true, cluster.now));
     } else if (e.t === 'list') later(100, () => core.listed([], cluster.now));
-    else if (e.t === 'rent') later(100, () => core.rented(e.id, { kind: 'full' }, cluster.now));
-    else if (e.t === 'types') later(50, () => core.types(TYPES, cluster.now));
+    else if (e.t === 'rent') {
+      cluster.rents.push({ type: e.rental.type, spot: e.rental.spot, at: cluster.now });
+      later(100, () => core.rented(e.id, { kind: 'full' }, cluster.now));
+    } else if (e.t === 'types') later(50, () => core.types(TYPES, cluster.now));
   }
 }
 
@@ -574,6 +576,8 @@
   /** readings of the state service that were asked for, and commands with something in them */
   barriers = 0;
   commands = 0;
+  /** what was asked of the cloud, which has nothing left */
+  readonly rents: { type: string; spot: boolean; at: number }[] = [];
   /** questions under way to workers, the most at once at any controller */
   mostAsked = 0;
   trace: string[] = [];
