--- a/packages/server/src/service.ts
+++ b/packages/server/src/service.ts
@@ -35,7 +35,10 @@
       steady,
       () => this.carryOut(),
       1500,
-      (ms) => this.core.paused(ms, steady()),
+      (ms) => {
+        this.carryOut(true);
+        this.core.paused(ms, steady());
+      },
     );
     // Half of the time a cancellation has: rides out outages, leaves time to take over.
     const ttlMs = Math.round(Math.min(600, Math.max(1, c.workers.cancelS / 2)) * 1000);
@@ -76,8 +79,10 @@
       due = now + TICK_MS;
       inbox.decision(() => core.tick(steady()));
     });
-    // What each controller's processor time and memory go to is worth seeing at any size.
+    // What each controller refused, and what its processor time and memory go to, is worth seeing at any size.
     interval(10_000).subscribe(() => {
+      const refused = this.shedding.refused();
+      if (refused.questions + refused.requests > 0) this.log.info(refused, 'users refused');
       const cpu = process.cpuUsage();
       const { rss, heapUsed } = process.memoryUsage();
       const mb = (n: number) => Math.round(n / 1048576);
@@ -106,13 +111,13 @@
     }, refuse);
   }
 
-  private carryOut(): void {
+  private carryOut(beforePause = false): void {
     // What was decided before a pause is not told to machines or the cloud after it: another
     // controller may have decided since. Answers and writes go out: a late answer finds nobody,
     // and a late write fails on its guards.
     const decided = this.inbox.last;
     for (const e of this.core.drain()) {
-      if (steady() - decided > PAUSE_MS && this.unsent(e)) continue;
+      if ((beforePause || steady() - decided > PAUSE_MS) && this.unsent(e)) continue;
       this.effect(e);
     }
   }
