--- a/test/edges.test.ts
+++ b/test/edges.test.ts
@@ -119,6 +119,39 @@
   ]);
 });
 
+test('after a pause of the process it is told of it first, whatever comes first, and questions come last', () => {
+  let now = 0;
+  const seen: string[] = [];
+  const inbox = new Inbox(
+    () => now,
+    () => {},
+    1500,
+    (ms) => seen.push(`stood still for ${ms}`),
+  );
+  inbox.question(
+    () => seen.push('old question'),
+    () => seen.push('old question refused'),
+  );
+  inbox.report(() => {
+    seen.push('report');
+    // It stands still in the middle of its inputs.
+    now += 5000;
+  });
+  inbox.decision(() => seen.push('decision'));
+  inbox.drain();
+  inbox.question(
+    () => seen.push('question'),
+    () => seen.push('question refused'),
+  );
+  inbox.request(
+    () => seen.push('submission'),
+    () => seen.push('submission refused'),
+  );
+  now += 100;
+  inbox.drain();
+  assert.deepEqual(seen, ['report', 'stood still for 5000', 'decision', 'old question refused', 'submission', 'question']);
+});
+
 const wireJob = {
   ref: 'run-000412',
   jobclass: 'train',
