Only a worker that goes from one controller to the next is asked, not one that stays elsewhere

One that stays with another controller is answered there; one that goes from one to the next perhaps hears nobody (trace one-way-machine, 18.7 -> 20.4 s).

--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -498,7 +498,7 @@
       else running.delete(job);
     }
     this.peers.set(status.node, { status, running, at: now, up: true });
-    for (const h of status.heard) this.owner.reports.unchanged(h, now);
+    for (const h of status.heard) this.owner.reports.unchanged(h, status.node, now);
     this.after(now);
   }
 
--- a/packages/core/src/model.ts
+++ b/packages/core/src/model.ts
@@ -249,6 +249,8 @@
   heardAt: Ms = 0;
   /** when another controller last said that it hears it */
   elsewhereAt: Ms = -1e12;
+  /** who said so */
+  elsewhereBy = '';
   /** commands in a row that got no answer, and since when; heard is not reachable */
   lostCount = 0;
   lostSince: Ms = -1;
--- a/packages/core/src/reports.ts
+++ b/packages/core/src/reports.ts
@@ -79,14 +79,15 @@
   }
 
   /** A keeper says that a machine's reports go on as they were. */
-  unchanged(h: PeerHeard, now: Ms): void {
+  unchanged(h: PeerHeard, from: string, now: Ms): void {
     const m = this.cx.table.machines.get(h.machine);
     if (!m || !this.work.mayAct(m.share, now)) return;
     // What is older than what came here is a late copy there.
     if (m.resolved && (h.session < m.session || (h.session === m.session && h.seq < m.seq))) return;
     m.elsewhereAt = now;
-    // Workers of our own zone report here, unless this controller or the machine is apart.
-    if (this.cx.table.zoneNames.name(m.zone) === this.cx.settings.zone) this.doubt(m, now);
+    // It goes from one to the next: perhaps nobody's answers reach it. One that stays is answered.
+    if (m.elsewhereBy !== from && m.elsewhereBy !== '') this.doubt(m, now);
+    m.elsewhereBy = from;
     if (!m.resolved || h.session !== m.session || h.seq <= m.seq) return;
     if (m.seq < h.whole) {
       // The report that it refers to did not come here.
