One name for a kind, one age of what is listed, one way to hold a task's place

Kinds were named in four places, the age of a listed machine worked out in three, and a task's place taken alike for what is planned and what is tried again.

--- a/packages/core/src/boots.ts
+++ b/packages/core/src/boots.ts
@@ -1,4 +1,5 @@
 import type { Ms } from './model.js';
+import { type Kind, kindKey } from './wants.js';
 
 /** PROTOCOL: boots usually take up to one and a half times what the cloud names. */
 const USUAL = 1.6;
@@ -12,14 +13,6 @@
 /** So many of a kind late, and none that came up, mean that the kind fails. */
 const FAILING = 2;
 
-interface Kind {
-  type: string;
-  zone: string;
-  spot: boolean;
-}
-
-const nameOf = (k: Kind) => `${k.type}/${k.zone}/${k.spot}`;
-
 /**
  * How long machines take to come up, by what their types took lately: boots can be late for
  * all, for some, or never end.
@@ -34,7 +27,7 @@
     const list = (this.recent.get(k.type) ?? []).filter((x) => now - x.at < RECENT_MS);
     list.push({ at: now, ms });
     this.recent.set(k.type, list.slice(-20));
-    this.upAt.set(nameOf(k), now);
+    this.upAt.set(kindKey(k), now);
   }
 
   /** One that isn't up after this long is late: it is counted on no more. */
@@ -47,11 +40,11 @@
   /** The machines that are late, of the kind of each. */
   setLate(kinds: Kind[]): void {
     this.lateNow.clear();
-    for (const k of kinds) this.lateNow.set(nameOf(k), (this.lateNow.get(nameOf(k)) ?? 0) + 1);
+    for (const k of kinds) this.lateNow.set(kindKey(k), (this.lateNow.get(kindKey(k)) ?? 0) + 1);
   }
 
   /** Several are late and none has come up for as long as that: others are preferred meanwhile. */
   failing(k: Kind, limitMs: Ms, now: Ms): boolean {
-    return (this.lateNow.get(nameOf(k)) ?? 0) >= FAILING && now - (this.upAt.get(nameOf(k)) ?? -1e12) > limitMs;
+    return (this.lateNow.get(kindKey(k)) ?? 0) >= FAILING && now - (this.upAt.get(kindKey(k)) ?? -1e12) > limitMs;
   }
 }
--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -629,7 +629,7 @@
       entitled: this.mayKeep(now),
       reach: this.owner.fleet.reach,
       writes: Math.round(this.writer.wanted(now)),
-      storeOk: now - this.storeAt < STORE_SILENT_MS,
+      storeOk: this.storeOk(now),
       hears: this.hears(now),
     };
   }
--- a/packages/core/src/planner.ts
+++ b/packages/core/src/planner.ts
@@ -235,11 +235,8 @@
       if (!room) break;
       const index = j.nextPending();
       if (index < 0) break;
-      take(room, j.need);
-      this.work.place(j, index, this.work.attempt(j.share), room.machine, 'planned', now);
-      this.addUse(use, j);
+      this.holdTask(j, index, room, use, counts, now);
       if (this.preemption.waitedOut(j)) this.preemption.pressed.set(j.share, (this.preemption.pressed.get(j.share) ?? 0) - 1);
-      counts.set(room.machine.zone, (counts.get(room.machine.zone) ?? 0) + 1);
       can--;
       left--;
     }
@@ -247,6 +244,20 @@
     return left - unplaceable;
   }
 
+  private holdTask(
+    j: Job,
+    index: number,
+    room: Room,
+    use: { cpus: number; gpus: number }[],
+    counts: Map<number, number>,
+    now: Ms,
+  ): void {
+    take(room, j.need);
+    this.work.place(j, index, this.work.attempt(j.share), room.machine, 'planned', now);
+    this.addUse(use, j);
+    counts.set(room.machine.zone, (counts.get(room.machine.zone) ?? 0) + 1);
+  }
+
   private addUse(use: { cpus: number; gpus: number }[], j: Job): void {
     const u = use[j.team];
     if (!u) return;
@@ -340,10 +351,7 @@
       const room = mine.find((r) => fits(j.need, r) && zoneAllows(j, counts, r.machine.zone));
       const index = room ? j.nextUntried() : -1;
       if (!room || index < 0) return;
-      take(room, j.need);
-      this.work.place(j, index, this.work.attempt(j.share), room.machine, 'planned', now);
-      this.addUse(use, j);
-      counts.set(room.machine.zone, (counts.get(room.machine.zone) ?? 0) + 1);
+      this.holdTask(j, index, room, use, counts, now);
     }
   }
 }
--- a/packages/core/src/rentals.ts
+++ b/packages/core/src/rentals.ts
@@ -3,7 +3,7 @@
 import type { Context } from './context.js';
 import { type Machine, type Ms, TOP_RANK } from './model.js';
 import { copies } from './placement.js';
-import { type Kind, suits, typeOf } from './wants.js';
+import { type Kind, kindKey, suits, typeOf } from './wants.js';
 
 /** Machines of one kind that are to be rented. */
 interface Purchase extends Kind {
@@ -131,7 +131,7 @@
   }
 
   private market(type: string, zone: string, spot: boolean): Market {
-    const key = `${type}/${zone}/${spot}`;
+    const key = kindKey({ type, zone, spot });
     let m = this.markets.get(key);
     if (!m) {
       m = { notBefore: 0, refusals: 0, filled: false };
@@ -145,7 +145,12 @@
     const b = this.booting.get(machine);
     if (b) return now - b.at;
     const l = this.listed.get(machine);
-    return l ? l.ageS * 1000 + (now - this.listAt) : null;
+    return l ? this.listedAge(l, now) : null;
+  }
+
+  /** The list told how old it was then. */
+  private listedAge(l: Listed, now: Ms): Ms {
+    return l.ageS * 1000 + (now - this.listAt);
   }
 
   private bootLimitMs(type: string, now: Ms): Ms {
@@ -153,14 +158,14 @@
   }
 
   /** Room that is on its way: rented machines that nobody has been granted yet. */
-  onTheWay(now: Ms): { type: string; zone: string; spot: boolean }[] {
-    const out: { type: string; zone: string; spot: boolean }[] = [];
+  onTheWay(now: Ms): Kind[] {
+    const out: Kind[] = [];
     const late: Listed[] = [];
     for (const b of this.booting.values()) out.push(b);
     for (const b of this.bookings.values()) for (let i = 0; i < b.count; i++) out.push(b);
     for (const l of this.listed.values()) {
       if (l.state === 'failed' || this.cx.table.machines.has(l.machine) || this.goneAt.has(l.machine)) continue;
-      if (l.ageS * 1000 + (now - this.listAt) < this.bootLimitMs(l.type, now)) out.push(l);
+      if (this.listedAge(l, now) < this.bootLimitMs(l.type, now)) out.push(l);
       else late.push(l);
     }
     this.boots.setLate(late);
@@ -285,7 +290,7 @@
         const o = this.cheapestFor(d, left, cheapest, inZone, now);
         if (!o) break;
         const c = { type: o.type.name, zone: o.zone, spot: o.spot };
-        const key = `${c.type}/${c.zone}/${c.spot}`;
+        const key = kindKey(c);
         const b = buy.get(key) ?? { ...c, count: 0, urgent: false };
         b.count++;
         b.urgent ||= d.rank >= TOP_RANK;
@@ -298,9 +303,9 @@
     return [...buy.values()];
   }
 
-  private fails(k: { type: string; zone: string; spot: boolean }, now: Ms): boolean {
+  private fails(k: Kind, now: Ms): boolean {
     const fails = this.boots.failing(k, this.bootLimitMs(k.type, now), now);
-    const name = `${k.type}/${k.zone}/${k.spot}`;
+    const name = kindKey(k);
     if (fails === this.failingKinds.has(name)) return fails;
     if (fails) this.failingKinds.add(name);
     else this.failingKinds.delete(name);
@@ -369,9 +374,8 @@
     const back: string[] = [];
     for (const l of this.listed.values()) {
       if (this.cx.table.machines.has(l.machine) || this.granting(l.machine)) continue;
-      const age = l.ageS + (now - this.listAt) / 1000;
       const gone = this.goneAt.get(l.machine);
-      if (l.state === 'failed' || age > (2 * this.bootLimitMs(l.type, now)) / 1000) {
+      if (l.state === 'failed' || this.listedAge(l, now) > 2 * this.bootLimitMs(l.type, now)) {
         if (gone !== undefined && now - gone < 60_000) continue;
         back.push(l.machine);
       }
--- a/packages/core/src/wants.ts
+++ b/packages/core/src/wants.ts
@@ -8,6 +8,9 @@
   spot: boolean;
 }
 
+/** One name for each kind. */
+export const kindKey = (k: Kind): string => `${k.type}/${k.zone}/${k.spot}`;
+
 export function typeOf(cx: Context, name: string): MachineType | null {
   return cx.table.types[cx.table.typeNames.find(name)] ?? null;
 }
