--- a/packages/api/src/index.ts
+++ b/packages/api/src/index.ts
@@ -35,6 +35,7 @@
     private readonly handle: (r: Request) => void,
     private readonly healthy: () => boolean,
     private readonly shedding: Shedding,
+    private readonly unreadable: (from: string) => void = () => {},
   ) {
     const app = express();
     this.app = app;
@@ -104,7 +105,10 @@
     req.on('end', () => {
       const body = size <= MAX_BODY ? unpackMap(parts.length === 1 ? (parts[0] as Buffer) : Buffer.concat(parts)) : null;
       const report = body && parseReport(body);
-      if (!report) return this.reply(res, 400, { error: 'not a report' });
+      if (!report) {
+        this.unreadable(`${req.socket.remoteAddress}`);
+        return this.reply(res, 400, { error: 'not a report' });
+      }
       this.handle({ kind: 'report', id: this.keep(res), report });
     });
   }
--- a/packages/core/src/commands.ts
+++ b/packages/core/src/commands.ts
@@ -44,7 +44,7 @@
   flushAll(now: Ms): void {
     const ask: Machine[] = [];
     for (const m of this.cx.table.machines.values()) {
-      if (!this.work.held.has(m.share)) continue;
+      if (!this.cx.acts(m.share)) continue;
       if (m.inflight !== 0 || m.giveBack !== '' || m.addr === '' || now < m.retryAt || m.dirty || m.bumping) continue;
       // Silent, not answering, or odd: ask, rather than wait for the next report.
       const odd = now - m.heardAt > this.cx.settings.workers.reportS * 2000 || m.lostCount > 0 || m.ask;
@@ -178,6 +178,11 @@
     // That a machine stands as it stood changes no plan.
     if (!c.probe || !m.resolved || m.lostCount > 0) this.work.wantPlan = true;
     if (!this.work.held.has(m.share)) return;
+    // Executed, but what is there now can't be read: as good as no answer.
+    if (r.kind === 'ok' && r.report === null) {
+      this.cx.log('warn', "a worker's answer can not be read", { machine: m.name });
+      r = { kind: 'lost' };
+    }
     if (r.kind === 'ok' || r.kind === 'stale') {
       this.work.answeredAt = now;
       this.work.unanswered.clear();
--- a/packages/core/src/context.ts
+++ b/packages/core/src/context.ts
@@ -15,6 +15,8 @@
 /** What the parts of the core share. */
 export interface Context {
   readonly settings: CoreSettings;
+  /** the time of the input being taken */
+  readonly now: Ms;
   readonly boot: string;
   readonly table: Table;
   readonly replica: Replica;
@@ -32,6 +34,8 @@
   settling(): boolean;
   /** can workers be reached from here? */
   reach(): boolean;
+  /** held, and not being released: commands, plans and returns may leave for it */
+  acts(share: number): boolean;
   peerAlive(node: string, now: Ms): boolean;
   afterBarrier(now: Ms, run: (now: Ms) => void, until?: Ms, late?: () => void): void;
   gained(holding: string, stamp: number): void;
--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -1,5 +1,5 @@
 import type { Change, Command, Listed, MachineType, PeerHeard, PeerStatus, Report, Row, TaskReport } from '@archpost/wire';
-import { goHome, reportAnswer } from '@archpost/wire';
+import { goHome, isStatus, reportAnswer } from '@archpost/wire';
 import type { Context, Peer } from './context.js';
 import { Desk } from './desk.js';
 import { Holdings } from './holdings.js';
@@ -71,7 +71,7 @@
   readonly holdings: Holdings;
   private effects: Effect[] = [];
   private ids = 1;
-  private now: Ms = 0;
+  now: Ms = 0;
   private waiters: { from: Ms; run: (now: Ms) => void; until: Ms; late: (() => void) | undefined }[] = [];
   private readonly heard = new Map<string, Heard>();
   private lastStatus: Ms = -1e12;
@@ -147,6 +147,10 @@
     return this.owner.fleet.reach;
   }
 
+  acts(share: number): boolean {
+    return this.holdings.active(String(share), this.now);
+  }
+
   settled(share: number): boolean {
     return this.owner.settled(share);
   }
@@ -166,7 +170,8 @@
   private keyChanged(key: string, entry: { value: unknown; stamp: number } | null): void {
     if (!key.startsWith(KEY.root)) return;
     if (key.startsWith(KEY.status('')) && entry) this.statusByState(entry.value as PeerStatus);
-    const c = this.table.apply(key, entry, this.now);
+    const c = this.read(key, entry);
+    if (!c) return;
     if (c.holding !== undefined) this.holdings.changed(c.holding);
     if (c.machine) {
       if (c.machine.share < 0) {
@@ -178,6 +183,16 @@
     if (c.job) this.owner.jobChanged(c.job);
   }
 
+  /** One record that can't be read, of another version say, must not keep the rest from being read. */
+  private read(key: string, entry: { value: unknown; stamp: number } | null): ReturnType<Table['apply']> | null {
+    try {
+      return this.table.apply(key, entry, this.now);
+    } catch (e) {
+      this.log('warn', 'a stored record can not be read', { key, error: String(e) });
+      return null;
+    }
+  }
+
   loaded(rows: Row[], revision: number, now: Ms): void {
     this.now = now;
     this.replica.reset(rows, revision);
@@ -304,20 +319,24 @@
       return;
     }
     this.served.set(r.machine, now);
+    if (this.owner.work.holds(m.share, now)) this.owner.reports.observe(m, r, now);
+    // A keeper: the work must not die because its owner did, or can't be reached from here.
+    else this.hear(r, holder, now);
+    this.toWorker(id, 200, reportAnswer(this.table.token(m), this.cancelledOf(r)));
+    this.after(now);
+  }
+
+  /**
+   * What a report names of cancelled jobs is stopped by the answer, whoever gives it: a direct command may
+   * not get through where the answer does, and the answer is what lets the work live on.
+   */
+  private cancelledOf(r: Report): Command[] {
     const stops: Command[] = [];
-    if (this.owner.work.mayAct(m.share, now)) {
-      this.owner.reports.observe(m, r, now);
-    } else {
-      // A keeper: the work must not die because its owner did, or can't be reached from here.
-      this.hear(r, holder, now);
-      for (const t of r.tasks) {
-        if (t.state !== 'exited' && this.table.finals.get(t.job) === 'cancelled') {
-          stops.push({ op: 'stop', job: t.job, index: t.index, attempt: t.attempt, graceS: 0 });
-        }
-      }
+    for (const t of r.tasks) {
+      if (t.state !== 'exited' && this.table.finals.get(t.job) === 'cancelled')
+        stops.push({ op: 'stop', job: t.job, index: t.index, attempt: t.attempt, graceS: 0 });
     }
-    this.toWorker(id, 200, reportAnswer(this.table.token(m), stops));
-    this.after(now);
+    return stops;
   }
 
   private toWorker(id: number, status: number, body: unknown): void {
@@ -432,7 +451,7 @@
   relayed(r: Report, now: Ms): void {
     this.now = now;
     const m = this.table.machines.get(r.machine);
-    if (!m || this.table.holder(m.share)?.holder.node !== this.settings.node || !this.owner.work.mayAct(m.share, now)) return;
+    if (!m || this.table.holder(m.share)?.holder.node !== this.settings.node || !this.owner.work.holds(m.share, now)) return;
     this.owner.reports.observe(m, r, now);
     // Workers of our own zone report here, unless this controller or the machine is apart.
     if (r.zone === this.settings.zone) this.owner.reports.doubt(m, now);
@@ -510,7 +529,7 @@
 
   /** Used only while the link itself is silent: it is slower, and costs writes. */
   private statusByState(status: PeerStatus): void {
-    if (status.node === this.settings.node || this.peerAlive(status.node, this.now)) return;
+    if (!isStatus(status) || status.node === this.settings.node || this.peerAlive(status.node, this.now)) return;
     if (!this.replica.loaded) return;
     this.peers.set(status.node, { status, running: this.peers.get(status.node)?.running ?? new Map(), at: this.now, up: false });
   }
--- a/packages/core/src/desk.ts
+++ b/packages/core/src/desk.ts
@@ -9,6 +9,9 @@
 const SUBMIT_MS = 4000;
 const POLL_MS = 1700;
 
+/** Within this time of a job's acceptance nobody can have been told of its end. */
+const PROMPT_MS = 150;
+
 /** Bytes of a value left to what the record gets later, and to how the service counts. */
 const RECORD_SPARE = 256;
 
@@ -68,16 +71,20 @@
     if (Buffer.byteLength(JSON.stringify(record)) > this.cx.settings.state.valueKb * 1024 - RECORD_SPARE)
       return this.answer(id, 400, { error: 'its names are too long to be stored' });
     let over = false;
+    let sentAt = now;
     this.cx.writer.add({
       key: KEY.job(spec.id),
-      value: () => record,
+      value: (at) => {
+        sentAt = at;
+        return record;
+      },
       guard: 0,
       urgency: URGENCY.accept,
       until: now + SUBMIT_MS,
       done: (outcome) => {
         if (over) return;
         over = true;
-        if (outcome === 'ok') this.answer(id, 201, jobAnswer(spec.id, 'queued'));
+        if (outcome === 'ok') this.accepted(id, spec.id, sentAt);
         else if (outcome === 'conflict') {
           const state = this.state(spec.id);
           if (state) this.answer(id, 200, jobAnswer(spec.id, state));
@@ -92,6 +99,16 @@
     });
   }
 
+  /**
+   * The answer to the transaction may have been long on its way, and the job have run to its end, or been
+   * called off at another controller, which has told so: then nothing older than that is said here.
+   */
+  private accepted(id: number, job: string, sentAt: Ms): void {
+    const now = this.cx.now;
+    if (now - sentAt < PROMPT_MS) this.answer(id, 201, jobAnswer(job, this.state(job) ?? 'queued'));
+    else this.known(id, job, now);
+  }
+
   private readonly timers: { at: Ms; run: () => void }[] = [];
 
   private expire(at: Ms, run: () => void): void {
--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -64,7 +64,7 @@
     const limit = this.cx.settings.workers.cancelS * 1000 * 0.5;
     const back: Machine[] = [];
     for (const m of this.cx.table.machines.values()) {
-      if (!this.work.held.has(m.share)) continue;
+      if (!this.cx.acts(m.share)) continue;
       const silent = m.resolved || m.probed ? now - m.heardAt : 0;
       // Cancelled work must be gone in time, whatever the reason for the silence, and whatever
       // is thought of how long it lasts.
@@ -105,10 +105,17 @@
     }
   }
 
-  /** Bears work that was told to stop, since its user cancelled it, for longer than this. */
+  /**
+   * Bears work whose user cancelled it longer than this ago, and that was told so: the time counts from
+   * the reading of the cancellation, not from when a new holder found the work.
+   */
   private cancelledWork(m: Machine, now: Ms, longer: Ms): boolean {
-    for (const p of m.placements.values())
-      if (p.job.state === 'cancelled' && p.phase !== 'exited' && now - p.job.lastStop > longer) return true;
+    const told = Math.min(longer, this.cx.settings.workers.reportS * 2000);
+    for (const p of m.placements.values()) {
+      const { job } = p;
+      if (job.state !== 'cancelled' || p.phase === 'exited') continue;
+      if (now - job.cancelledAt > longer && now - job.lastStop > told) return true;
+    }
     return false;
   }
 
--- a/packages/core/src/holdings.ts
+++ b/packages/core/src/holdings.ts
@@ -27,7 +27,11 @@
 
   constructor(private readonly cx: Context) {}
 
-  /** All holdings act only while the lease surely stands. */
+  /**
+   * A holding is acted for only while the lease surely stands, and no more once its release has been
+   * queued: that may be carried out while its answer is late, and the next holder counts on nothing of
+   * ours being started after its own claim.
+   */
   active(name: string, now: Ms): boolean {
     return this.mine.has(name) && !this.releasing.has(name) && this.cx.leaseValid(now);
   }
--- a/packages/core/src/planner.ts
+++ b/packages/core/src/planner.ts
@@ -82,7 +82,7 @@
   plan(now: Ms): void {
     const rooms: Room[] = [];
     for (const m of this.cx.table.machines.values())
-      if (this.work.held.has(m.share) && this.work.usable(m, now)) rooms.push(this.work.roomOf(m));
+      if (this.cx.acts(m.share) && this.work.usable(m, now)) rooms.push(this.work.roomOf(m));
     const use = this.teamUse();
     const guar = this.order.guarantees();
     let weighed = 0;
--- a/packages/core/src/reports.ts
+++ b/packages/core/src/reports.ts
@@ -5,6 +5,10 @@
 import { type JobRecord, KEY } from './table.js';
 import { taskKey, type Work } from './work.js';
 
+/** A worker numbers its reports, two a second at most, and its answers to questions and commands. */
+const MESSAGES_PER_S = 10;
+const MESSAGES_AT_ONCE = 50;
+
 /** What workers say, taken for what it is worth. */
 export class Reports {
   constructor(
@@ -40,6 +44,12 @@
       if (asked === null) this.doubt(m, now);
       return;
     }
+    // A number so high can't be the next of what is known: a late copy of from before the machine began
+    // again, or much was said elsewhere. It frees and finishes nothing before the machine itself has answered.
+    if (asked === null && this.implausible(m, r.seq, now)) {
+      this.doubt(m, now);
+      return;
+    }
     // It has said something that didn't come here: perhaps our answers don't reach it.
     if (asked === null && r.session === m.session && r.seq > m.seq + 1) this.doubt(m, now);
     if (r.addr) m.addr = r.addr;
@@ -74,14 +84,23 @@
       this.taskSeen(p, t, now);
     }
     for (const [key, p] of [...m.placements]) {
-      if (!seen.has(key) && (p.phase === 'there' || p.phase === 'exited')) this.work.free(p);
+      if (seen.has(key) || p.phase === 'planned' || p.phase === 'sent') continue;
+      // What runs never leaves the reports of its session by itself. Where it is missing the machine began
+      // again, or this is a copy of something older: the answer to our own question tells which.
+      if (asked === null && p.phase === 'there') this.doubt(m, now);
+      else this.work.free(p);
     }
   }
 
+  /** More than a worker can have said since it was last heard. */
+  private implausible(m: Machine, seq: number, now: Ms): boolean {
+    return m.seq >= 0 && seq - m.seq > MESSAGES_AT_ONCE + (MESSAGES_PER_S * (now - m.heardAt)) / 1000;
+  }
+
   /** A keeper says that a machine's reports go on as they were. */
   unchanged(h: PeerHeard, from: string, now: Ms): void {
     const m = this.cx.table.machines.get(h.machine);
-    if (!m || !this.work.mayAct(m.share, now)) return;
+    if (!m || !this.work.holds(m.share, now)) return;
     // What is older than what came here is a late copy there.
     if (m.resolved && (h.session < m.session || (h.session === m.session && h.seq < m.seq))) return;
     m.elsewhereAt = now;
@@ -89,7 +108,7 @@
     if (m.elsewhereBy !== from && m.elsewhereBy !== '') this.doubt(m, now);
     m.elsewhereBy = from;
     if (!m.resolved || h.session !== m.session || h.seq <= m.seq) return;
-    if (m.seq < h.whole) {
+    if (m.seq < h.whole || this.implausible(m, h.seq, now)) {
       // The report that it refers to did not come here.
       this.doubt(m, now);
       return;
@@ -114,6 +133,7 @@
       if (!record?.sp) return null;
       job = this.cx.table.makeJob(record.sp);
       job.state = record.s === 2 ? 'cancelled' : record.s === 1 ? 'done' : 'live';
+      if (job.state === 'cancelled') job.cancelledAt = now;
       job.stamp = this.cx.replica.get(KEY.job(t.job))?.stamp ?? 0;
       this.cx.table.jobs.set(t.job, job);
     }
--- a/packages/core/src/table.ts
+++ b/packages/core/src/table.ts
@@ -44,6 +44,18 @@
   sp?: JobSpec;
 }
 
+function holderIn(value: unknown): Holder {
+  const h = value as Partial<Holder> | null;
+  if (typeof h?.node !== 'string' || typeof h.boot !== 'string') throw new Error('not a holder');
+  return h as Holder;
+}
+
+function grantIn(value: unknown): GrantRecord {
+  const g = value as Partial<GrantRecord> | null;
+  if (typeof g?.s !== 'number' || typeof g.t !== 'string' || typeof g.z !== 'string') throw new Error('not a grant');
+  return g as GrantRecord;
+}
+
 /** Tasks whose completion one progress key holds. The key's text stays within value_kb. */
 export function chunkSize(valueKb: number): number {
   return Math.max(512, Math.floor(valueKb * 1024 * 0.5) * 4);
@@ -121,7 +133,7 @@
     const kind = key.slice(2, 4);
     if (kind === 'h/') {
       const name = key.slice(4);
-      if (entry) this.holders.set(name, { holder: entry.value as Holder, stamp: entry.stamp });
+      if (entry) this.holders.set(name, { holder: holderIn(entry.value), stamp: entry.stamp });
       else this.holders.delete(name);
       return { holding: name };
     }
@@ -192,7 +204,10 @@
     }
     job.stamp = entry.stamp;
     if (r.s === 1) job.state = 'done';
-    if (r.s === 2) job.state = 'cancelled';
+    if (r.s === 2) {
+      job.state = 'cancelled';
+      if (job.cancelledAt < 0) job.cancelledAt = now;
+    }
     return { job };
   }
 
@@ -250,7 +265,7 @@
       }
       return {};
     }
-    const g = entry.value as GrantRecord;
+    const g = grantIn(entry.value);
     let m = old;
     let moved = false;
     if (!m) {
--- a/packages/core/src/work.ts
+++ b/packages/core/src/work.ts
@@ -33,7 +33,8 @@
     this.blame = new Blame(cx);
   }
 
-  mayAct(share: number, now: Ms): boolean {
+  /** Its workers' reports are this controller's to take. */
+  holds(share: number, now: Ms): boolean {
     return this.held.has(share) && this.cx.leaseValid(now);
   }
 
--- a/packages/core/src/writer.ts
+++ b/packages/core/src/writer.ts
@@ -1,3 +1,4 @@
+import { isDeepStrictEqual } from 'node:util';
 import type { Guard, Write } from '@archpost/wire';
 import type { Effect, Ms } from './model.js';
 import type { Replica } from './replica.js';
@@ -23,8 +24,8 @@
 
 export interface PendingWrite {
   key: string;
-  /** evaluated when sent; undefined removes the key */
-  value: () => unknown;
+  /** evaluated when sent first; undefined removes the key */
+  value: (now: Ms) => unknown;
   /** stamp that the key must still have; 0: must not exist */
   guard: number;
   also?: Guard[];
@@ -37,9 +38,14 @@
   done: (outcome: 'ok' | 'conflict' | 'dropped', stamp: number) => void;
 }
 
+/** As the state service returns it: without fields that have no value. */
+const plain = (v: unknown): unknown => JSON.parse(JSON.stringify(v));
+
 interface Queued extends PendingWrite {
   /** an earlier send got no answer: it may be applied yet, or be applied already */
   uncertain: boolean;
+  /** the state service did not take it together with others */
+  alone: boolean;
   /** when it was queued */
   at: Ms;
   sentValue: unknown;
@@ -53,7 +59,7 @@
  */
 export class Writer {
   private queue: Queued[] = [];
-  private readonly inflight = new Map<number, Queued[]>();
+  private readonly inflight = new Map<number, { batch: Queued[]; lease: number | null }>();
   private nextId = 1;
   private rate: number;
   private budget: number;
@@ -104,7 +110,7 @@
   }
 
   add(w: PendingWrite): void {
-    this.queue.push({ ...w, uncertain: false, sentValue: undefined, at: this.budgetAt });
+    this.queue.push({ ...w, uncertain: false, alone: false, sentValue: undefined, at: this.budgetAt });
   }
 
   flush(now: Ms): void {
@@ -127,6 +133,7 @@
         const wanted = [{ key: w.key, stamp: w.guard }, ...(w.also ?? [])];
         const fits =
           batch.length < room &&
+          !(batch.length > 0 && (w.alone || batch[0]?.alone)) &&
           !(w.urgency === URGENCY.accept && accepts < 1) &&
           !keys.has(w.key) &&
           !this.busy.has(w.key) &&
@@ -139,7 +146,8 @@
           continue;
         }
         if (w.urgency === URGENCY.accept) accepts--;
-        w.sentValue = w.value();
+        // What may have been carried out already is sent again as it was: its own first copy must be known by it.
+        if (!w.uncertain) w.sentValue = w.value(now);
         bytes += w.sentValue === undefined ? 0 : JSON.stringify(w.sentValue).length;
         keys.add(w.key);
         const kind = w.key.slice(2, 3);
@@ -153,9 +161,9 @@
       this.wanted(now);
       this.recent += batch.length;
       const id = this.nextId++;
-      this.inflight.set(id, batch);
-      for (const k of keys) this.busy.add(k);
       const lease = this.lease();
+      this.inflight.set(id, { batch, lease });
+      for (const k of keys) this.busy.add(k);
       this.emit({
         t: 'txn',
         id,
@@ -185,11 +193,14 @@
       | { kind: 'failed'; keys: string[] }
       | { kind: 'refused' }
       | { kind: 'noLease' }
+      /** it can't be taken as it is: too large, say */
+      | { kind: 'invalid' }
       | { kind: 'unknown' },
     now: Ms,
   ): void {
-    const batch = this.inflight.get(id);
-    if (!batch) return;
+    const sent = this.inflight.get(id);
+    if (!sent) return;
+    const { batch, lease } = sent;
     this.inflight.delete(id);
     for (const w of batch) this.busy.delete(w.key);
     if (r.kind === 'ok') {
@@ -207,9 +218,12 @@
       }
       // Should the answer name no key of ours, retrying at once would spin.
       if (failed.size === 0) this.pauseUntil = now + 200;
+    } else if (r.kind === 'invalid') {
+      this.invalid(batch, now);
     } else {
-      if (r.kind === 'noLease') this.leaseGone();
-      else this.pauseUntil = now + 300;
+      // One of a lease that we have given up ourselves says nothing of the lease we have now.
+      if (r.kind === 'noLease' && lease !== null && lease === this.lease()) this.leaseGone();
+      else if (r.kind !== 'noLease') this.pauseUntil = now + 300;
       for (const w of batch) {
         if (r.kind === 'unknown') w.uncertain = true;
         if (r.kind === 'noLease' && w.leased) w.done('conflict', 0);
@@ -219,11 +233,21 @@
     this.flush(now);
   }
 
+  /** Whichever of them can't be taken must not keep the others back: each goes by itself, and it is given up. */
+  private invalid(batch: Queued[], now: Ms): void {
+    for (const w of batch) {
+      if (batch.length > 1) this.queue.push({ ...w, alone: true });
+      else if (w.uncertain) this.afterBarrier(now, () => this.conflict(w));
+      else w.done('dropped', 0);
+    }
+  }
+
   private conflict(w: Queued): void {
     const e = this.replica.get(w.key);
     const same =
       w.uncertain &&
-      (w.sentValue === undefined ? e === null : e !== null && JSON.stringify(e.value) === JSON.stringify(w.sentValue));
+      // Not by its text: the service may return a map's fields in another order.
+      (w.sentValue === undefined ? e === null : e !== null && isDeepStrictEqual(plain(e.value), plain(w.sentValue)));
     w.done(same ? 'ok' : 'conflict', e?.stamp ?? 0);
   }
 }
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -12,6 +12,7 @@
 export class Peers {
   readonly message$ = new Subject<PeerMessage>();
   readonly down$ = new Subject<string>();
+  readonly unreadable$ = new Subject<string>();
   private readonly out = new Map<string, net.Socket>();
 
   constructor(private readonly others: { name: string; addr: string }[]) {}
@@ -67,9 +68,9 @@
           if (!this.others.some((o) => o.name === message.node)) throw new Error('unknown node');
           node = message.node;
           this.message$.next(message);
-        } catch {
-          s.destroy();
-          return;
+        } catch (e) {
+          // Dropped and told of; what comes after it begins at its own frame.
+          this.unreadable$.next(String(e));
         }
       }
     });
--- a/packages/server/src/service.ts
+++ b/packages/server/src/service.ts
@@ -52,6 +52,7 @@
       (r) => this.request(r),
       () => this.core.ready,
       this.shedding,
+      (from) => this.log.warn({ from }, 'a report can not be read'),
     );
   }
 
@@ -65,6 +66,7 @@
       if (report) inbox.report(() => core.relayed(report, steady()));
       if (status) inbox.decision(() => core.peerStatus(status, steady()));
     });
+    this.peers.unreadable$.subscribe((error) => this.log.warn({ error }, 'a peer message can not be read'));
     this.peers.down$.subscribe((n) => inbox.decision(() => core.peerDown(n, steady())));
     this.store.start();
     const peer = splitAddr(this.settings.peerListen);
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -1,6 +1,7 @@
 import { Budget, Client, sleep, steady } from '@archpost/transport';
 import type { Change, Guard, Row, Write } from '@archpost/wire';
 import {
+  isNoLease,
   leaseBody,
   PATHS,
   pack,
@@ -19,6 +20,7 @@
   | { kind: 'failed'; keys: string[] }
   | { kind: 'refused' }
   | { kind: 'noLease' }
+  | { kind: 'invalid' }
   | { kind: 'unknown' };
 
 export interface StateEvents {
@@ -197,7 +199,7 @@
       return revision === null ? { kind: 'unknown' } : { kind: 'ok', revision };
     }
     if (o.status === 409) return { kind: 'failed', keys: parseFailed(body) };
-    if (o.status === 400) return { kind: 'noLease' };
+    if (o.status === 400) return { kind: isNoLease(body) ? 'noLease' : 'invalid' };
     return o.status === 503 || o.status === 429 ? { kind: 'refused' } : { kind: 'unknown' };
   }
 }
--- a/packages/wire/src/state.ts
+++ b/packages/wire/src/state.ts
@@ -65,6 +65,8 @@
 
 export const leaseBody = (ttlMs: number) => ({ ttl_ms: ttlMs });
 export const parseLease = (b: Record<string, unknown>) => (typeof b.permit === 'number' ? b.permit : null);
+/** A transaction's 400: the lease has ended, or (any other) it can't be taken as it is. */
+export const isNoLease = (b: Record<string, unknown>) => b.error === 'no such lease';
 export const parseRevision = (b: Record<string, unknown>) => (typeof b.ledger === 'number' ? b.ledger : null);
 export const parseFailed = (b: Record<string, unknown>): string[] =>
   Array.isArray(b.failed) ? b.failed.filter((x): x is string => typeof x === 'string') : [];
--- a/test/apart.test.ts
+++ b/test/apart.test.ts
@@ -239,7 +239,7 @@
   assert.equal(late(n2, w.report()), 200, 'its workers are kept for a while');
   c.run(9);
   for (const s of n2.core.owner.held.keys())
-    assert.ok(!n2.core.owner.work.mayAct(s, c.now), 'no share is acted for without a lease');
+    assert.ok(!n2.core.owner.work.holds(s, c.now), 'no share is acted for without a lease');
   // Time for a cancellation that it can't know of, less what a worker's own lease takes.
   c.run(4);
   assert.equal(late(n2, w.report()), 503);
--- a/test/safety.test.ts
+++ b/test/safety.test.ts
@@ -192,7 +192,7 @@
   c.until('running', () => c.running('run-x') === 1);
   c.stateDown = true;
   c.run(45);
-  for (const n of c.nodes) for (const s of n.core.owner.held.keys()) assert.ok(!n.core.owner.work.mayAct(s, c.now));
+  for (const n of c.nodes) for (const s of n.core.owner.held.keys()) assert.ok(!n.core.owner.work.holds(s, c.now));
   const stamps = () => [0, 1, 2].map((s) => c.nodes[0]?.core.table.holder(s)?.stamp);
   const before = stamps();
   c.stateDown = false;
--- a/test/stand-ins.ts
+++ b/test/stand-ins.ts
@@ -8,6 +8,7 @@
   type Command,
   encodePeer,
   type JobSpec,
+  type Listed,
   type MachineType,
   type PeerStatus,
   type Report,
@@ -197,6 +198,7 @@
   token = 0;
   tasks = new Map<string, WorkerTask>();
   renewedAt: number;
+  readonly bornAt: number;
   nextReport = 0;
   target = 0;
   noticeS: number | null = null;
@@ -216,6 +218,7 @@
     readonly spot: boolean,
   ) {
     this.renewedAt = cluster.now;
+    this.bornAt = cluster.now;
   }
 
   report(): Report {
@@ -321,13 +324,15 @@
       this.target++;
       this.nextReport = cluster.now + 1000;
     };
-    if (!node.up || cluster.cut(node.name, this.name)) return next();
+    if (!node.up || cluster.mute(this.name) || cluster.cut(node.name, this.name)) return next();
     if (node.frozen) {
       // Nobody answers for 4 s; the report is read when the controller goes on.
       this.target++;
       this.nextReport = cluster.now + 5000;
     }
-    node.report(this.report(), (status, body) => {
+    const report = this.report();
+    cluster.reported?.(report);
+    node.report(report, (status, body) => {
       if (this.dead || this.hung || session !== this.session || cluster.now - sentAt > 4000) return;
       if (cluster.deaf(node.name, this.name)) return next();
       if (status === 421 && typeof body.home === 'string') {
@@ -360,9 +365,11 @@
   /** it stands still: nothing is read or sent, and its clock goes on */
   frozen = false;
   private frozenAt = 0;
-  private backlog: (() => void)[] = [];
+  private backlog: { run: () => void; lost: () => void }[] = [];
   /** the state service refuses this node alone */
   refused = false;
+  /** its watch brings nothing for now, while all else at the state service goes on */
+  lagging = false;
   private permit: number | null = null;
   private renewAt = 0;
   private loadedAt = -1;
@@ -409,19 +416,19 @@
   /** Goes on: what came meanwhile is read, oldest first, before anything new is known; or it is lost. */
   thaw(lost = false): void {
     this.frozen = false;
-    if (lost) this.backlog = [];
     this.cluster.note(`${this.name} goes on`);
     this.core.paused(this.cluster.now - this.frozenAt, this.cluster.now);
-    for (const input of this.backlog.splice(0)) input();
+    // What was lost is missed by this process' own timers.
+    for (const input of this.backlog.splice(0)) lost ? input.lost() : input.run();
     this.run();
   }
 
-  private input(f: () => void): void {
+  private input(run: () => void, lost: () => void = () => {}): void {
     if (this.frozen) {
-      this.backlog.push(f);
+      this.backlog.push({ run, lost });
       return;
     }
-    f();
+    run();
     this.run();
   }
 
@@ -465,7 +472,7 @@
         this.core.types(TYPES, now);
         this.core.loaded(state.rows(), state.revision, now);
       }
-      this.core.changes(state.since(this.core.replica.revision), state.revision, now, now);
+      if (!this.lagging) this.core.changes(state.since(this.core.replica.revision), state.revision, now, now);
     }
     this.core.tick(now);
     this.run();
@@ -477,9 +484,9 @@
 
   private effect(e: Effect): void {
     const { cluster, core } = this;
-    const later = (ms: number, f: () => void) =>
+    const later = (ms: number, f: () => void, lost: () => void = f) =>
       cluster.at(cluster.now + ms, () => {
-        if (this.up && this.core === core) this.input(f);
+        if (this.up && this.core === core) this.input(f, lost);
       });
     if (e.t === 'answer') {
       const then = this.answers.get(e.id);
@@ -494,25 +501,30 @@
       const apply = () => cluster.state.txn(e);
       if (cluster.loseTxn?.(e, apply)) return later(1500, () => core.txnResult(e.id, { kind: 'unknown' }, cluster.now));
       const r = apply();
-      later(10, () => core.txnResult(e.id, r, cluster.now));
+      later(
+        cluster.answerMs(this.name),
+        () => core.txnResult(e.id, r, cluster.now),
+        () => core.txnResult(e.id, { kind: 'unknown' }, cluster.now),
+      );
     } else if (e.t === 'command') {
       const question = e.commands.length === 0 ? 1 : 0;
       cluster.commands += 1 - question;
       this.asked += question;
       cluster.mostAsked = Math.max(cluster.mostAsked, this.asked);
       const w = cluster.worker(e.machine);
-      if (!w || w.dead || w.hung || cluster.cut(this.name, e.machine) || cluster.deaf(this.name, e.machine)) {
+      const astray = cluster.deaf(this.name, e.machine) || cluster.commandsLost(this.name, e.machine);
+      if (!w || w.dead || w.hung || cluster.cut(this.name, e.machine) || astray) {
         if (w?.hung) w.held.push(() => void w.command(e.token, e.session, e.commands));
         return later(2500, () => {
           this.asked -= question;
           core.commandResult(e.id, { kind: 'lost' }, cluster.now);
         });
       }
-      const r = w.command(e.token, e.session, e.commands);
-      later(10, () => {
+      const answered = (r: Parameters<Core['commandResult']>[1]) => () => {
         this.asked -= question;
         core.commandResult(e.id, r, cluster.now);
-      });
+      };
+      later(10, answered(w.command(e.token, e.session, e.commands)), answered({ kind: 'lost' }));
     } else if (e.t === 'ask') {
       const w = cluster.worker(e.addr);
       const ok = w !== undefined && !w.dead && !w.hung && !cluster.cut(this.name, w.name) && !cluster.deaf(this.name, w.name);
@@ -538,10 +550,13 @@
       if (cluster.cloudDown) return later(100, () => core.returned(e.id, false, cluster.now));
       for (const name of e.machines) cluster.remove(name);
       later(100, () => core.returned(e.id, true, cluster.now));
-    } else if (e.t === 'list') later(100, () => core.listed([], cluster.now));
-    else if (e.t === 'rent') {
+    } else if (e.t === 'list') {
+      const list = cluster.cloudDown ? null : cluster.listing();
+      later(100, () => core.listed(list, cluster.now));
+    } else if (e.t === 'rent') {
       cluster.rents.push({ type: e.rental.type, spot: e.rental.spot, at: cluster.now });
-      later(100, () => core.rented(e.id, { kind: 'full' }, cluster.now));
+      const machines = cluster.rent(e.rental.type, e.rental.zone, e.rental.spot, e.rental.count);
+      later(100, () => core.rented(e.id, machines ? { kind: 'ok', machines } : { kind: 'full' }, cluster.now));
     } else if (e.t === 'types') later(50, () => core.types(TYPES, cluster.now));
   }
 }
@@ -566,6 +581,17 @@
   cut: (a: string, b: string) => boolean = () => false;
   /** true if what this controller sends doesn't reach the machine, though its reports arrive */
   deaf: (node: string, machine: string) => boolean = () => false;
+  /** true if direct commands to it are lost, while its reports are answered */
+  commandsLost: (node: string, machine: string) => boolean = () => false;
+  /** true if the machine reaches no controller, though direct commands reach it */
+  mute: (machine: string) => boolean = () => false;
+  /** sees every report as it leaves, to deliver copies late */
+  reported: ((r: Report) => void) | null = null;
+  /** how long the answer to a transaction takes, once it is carried out */
+  answerMs: (node: string) => number = () => 10;
+  /** the cloud has machines left: they are up so long after they were rented */
+  bootMs: (() => number) | null = null;
+  private rented = 0;
   /** reports passed on whole by keepers */
   relays = 0;
   /** bytes of statuses between controllers, and how many were sent */
@@ -614,6 +640,30 @@
     return w;
   }
 
+  /** Machines of the cloud, up after a while; null: it has none. */
+  rent(type: string, zone: string, spot: boolean, count: number): string[] | null {
+    if (!this.bootMs || this.cloudDown) return null;
+    const names = Array.from({ length: count }, () => `r${this.rented++}`);
+    for (const name of names) this.at(this.now + this.bootMs(), () => void this.machine(name, type, zone, spot));
+    return names;
+  }
+
+  /** What the cloud lists: in this stand-in only what it rented out itself. */
+  listing(): Listed[] {
+    if (!this.bootMs) return [];
+    return this.workers
+      .filter((w) => !w.dead)
+      .map((w) => ({
+        machine: w.name,
+        addr: w.name,
+        type: w.type,
+        zone: w.zone,
+        spot: w.spot,
+        state: 'running' as const,
+        ageS: (this.now - w.bornAt) / 1000,
+      }));
+  }
+
   remove(name: string): void {
     const w = this.byName.get(name);
     if (!w) return;
@@ -690,7 +740,7 @@
     );
   }
 
-  private broken(what: string): never {
+  broken(what: string): never {
     assert.fail(`${what}\n${this.trace.join('\n')}`);
   }
 
@@ -710,6 +760,9 @@
       0,
     );
     if (spec.spread && inZone >= Math.ceil(spec.tasks / 2)) this.broken(`wrong_place: ${id} not spread`);
+    if (spec.zone !== null && spec.zone !== w.zone) this.broken(`wrong_place: ${id} in ${w.zone}`);
+    if (spec.types !== null && !spec.types.includes(w.type)) this.broken(`wrong_place: ${id} on a ${w.type}`);
+    if (w.spot && !spec.spot) this.broken(`wrong_place: ${id} on a spot machine`);
     const told = this.cancelledAt.get(id);
     if (told !== undefined && this.now - told > 36_000) this.broken(`ran_cancelled: ${id} starts`);
   }
@@ -755,7 +808,7 @@
 
 /** The share that a job belongs to, and the controller that holds a share, as any controller sees it. */
 export const shareOf = (c: Cluster, id: string): number => anyUp(c)?.core.table.jobs.get(id)?.share ?? -1;
-export const holderOf = (c: Cluster, share: number): string => anyUp(c)?.core.table.holder(share)?.holder.node ?? '';
+export const holderOf = (c: Cluster, share: number | 'lead'): string => anyUp(c)?.core.table.holder(share)?.holder.node ?? '';
 
 /**
  * Compares what happened with the trace kept under test/traces, which is there to be read.
