--- a/packages/core/src/commands.ts
+++ b/packages/core/src/commands.ts
@@ -98,9 +98,9 @@
       // What is told to go without saving is gone before the next command.
       if (p.stop !== 0) take(free, p.job.need);
     }
-    if (now - this.cx.freshAt < this.work.staleMs() && !this.cx.settling()) {
+    if (this.work.mayStart(now)) {
       for (const p of m.placements.values()) {
-        if (p.phase !== 'planned' || cmds.length > 60) continue;
+        if (p.phase !== 'planned' || cmds.length > 60 || this.work.unconfirmed(p.job)) continue;
         if (p.job.spec.shape === 'gang' ? !this.gangReady(p.job) : !fits(p.job.need, free)) continue;
         take(free, p.job.need);
         cmds.push({ op: 'start', job: p.job.spec.id, index: p.index, attempt: p.attempt });
--- a/packages/core/src/model.ts
+++ b/packages/core/src/model.ts
@@ -167,6 +167,8 @@
   gangAttempt = 0;
   gangFailed = false;
   lastStop: Ms = -1e12;
+  /** when one of its tasks was seen stopped that this controller had not told to */
+  stoppedElsewhereAt: Ms = -1e12;
   /** when its cancellation was read here */
   cancelledAt: Ms = -1;
   /** longest run of one of its tasks so far, seconds */
--- a/packages/core/src/planner.ts
+++ b/packages/core/src/planner.ts
@@ -43,13 +43,7 @@
    */
   tick(now: Ms): void {
     const again = this.unsettled && now - this.plannedAt >= REPLAN_MS;
-    if (
-      !(this.work.wantPlan || again) ||
-      now < this.nextPlanAt ||
-      now - this.cx.freshAt >= this.work.staleMs() ||
-      this.cx.settling()
-    )
-      return;
+    if (!(this.work.wantPlan || again) || now < this.nextPlanAt || !this.work.mayStart(now)) return;
     this.work.wantPlan = false;
     this.plannedAt = now;
     this.plan(now);
@@ -102,6 +96,10 @@
         continue;
       }
       if (this.work.unproven(j)) continue;
+      if (this.work.unconfirmed(j)) {
+        later = true;
+        continue;
+      }
       if (this.work.blame.broken(j)) {
         broken.push(j);
         continue;
--- a/packages/core/src/reports.ts
+++ b/packages/core/src/reports.ts
@@ -190,6 +190,7 @@
       this.records.markDone(j, p.index);
       return;
     }
+    if (t.why === 'stopped' && p.stop === null) j.stoppedElsewhereAt = now;
     if (t.why === 'error') this.work.blame.failed(p, now);
     if (t.why === 'unknown') j.notBefore = now + 1000;
     if (t.why === 'no_room') m.retryAt = Math.max(m.retryAt, now + 500);
--- a/packages/core/src/work.ts
+++ b/packages/core/src/work.ts
@@ -10,6 +10,9 @@
   stamp: number;
 }
 
+/** The watch brings something, if only that nothing changed, more often than this. */
+const WATCH_LATE_MS = 4000;
+
 /** Attempts carry the holding's stamp, so no two holders ever use the same one. */
 const ATTEMPTS_PER_HOLDING = 1_000_000;
 
@@ -145,9 +148,23 @@
     return false;
   }
 
-  /** No starts for jobs whose state wasn't confirmed lately: a user may have cancelled them. */
-  staleMs(): number {
-    return this.cx.settings.workers.cancelS * 1000 * 0.25;
+  /**
+   * No starts of jobs whose state wasn't confirmed lately: their users may have called them off. In an
+   * outage of all nobody can confirm that, so a while more is allowed; while another controller is
+   * answered by the state service and this one isn't, no longer than the watch takes.
+   */
+  mayStart(now: Ms): boolean {
+    if (this.cx.settling()) return false;
+    const age = now - this.cx.freshAt;
+    if (age < WATCH_LATE_MS) return true;
+    if (age >= this.cx.settings.workers.cancelS * 1000 * 0.25) return false;
+    for (const [node, p] of this.cx.peers) if (p.status.storeOk && this.cx.peerAlive(node, now)) return false;
+    return true;
+  }
+
+  /** Somebody else stopped one of its tasks: called off perhaps, which only a newer reading can tell. */
+  unconfirmed(j: Job): boolean {
+    return this.cx.freshAt < j.stoppedElsewhereAt;
   }
 
   also(share: number) {
--- a/test/stand-ins.ts
+++ b/test/stand-ins.ts
@@ -221,6 +221,16 @@
     this.bornAt = cluster.now;
   }
 
+  /** Loses power and is back at once: its numbers start over and nothing is on it. */
+  reboot(): void {
+    this.cluster.note(`${this.name} begins again`);
+    this.session = 1;
+    this.seq = 0;
+    this.token = 0;
+    this.tasks.clear();
+    this.renewedAt = this.cluster.now;
+  }
+
   report(): Report {
     this.seq++;
     return {
@@ -443,8 +453,10 @@
     this.input(() => this.core.report(id, r, this.cluster.now));
   }
 
-  submit(s: JobSpec, then: (status: number, body: Record<string, unknown>) => void): void {
-    this.input(() => this.core.submit(this.wait(then), submission(s), this.cluster.now, this.cluster.now));
+  submit(s: JobSpec, then: (status: number, body: Record<string, unknown>) => void, without = ''): void {
+    const body = submission(s);
+    delete body[without];
+    this.input(() => this.core.submit(this.wait(then), body, this.cluster.now, this.cluster.now));
   }
 
   poll(id: string, then: (status: number, body: Record<string, unknown>) => void): void {
@@ -524,7 +536,9 @@
         this.asked -= question;
         core.commandResult(e.id, r, cluster.now);
       };
-      later(10, answered(w.command(e.token, e.session, e.commands)), answered({ kind: 'lost' }));
+      const r = w.command(e.token, e.session, e.commands);
+      const unreadable = r.kind === 'ok' && cluster.garbled(this.name, e.machine);
+      later(10, answered(unreadable ? { ...r, report: null } : r), answered({ kind: 'lost' }));
     } else if (e.t === 'ask') {
       const w = cluster.worker(e.addr);
       const ok = w !== undefined && !w.dead && !w.hung && !cluster.cut(this.name, w.name) && !cluster.deaf(this.name, w.name);
@@ -583,6 +597,8 @@
   deaf: (node: string, machine: string) => boolean = () => false;
   /** true if direct commands to it are lost, while its reports are answered */
   commandsLost: (node: string, machine: string) => boolean = () => false;
+  /** true if the machine's answers to commands, which it carries out, can't be read */
+  garbled: (node: string, machine: string) => boolean = () => false;
   /** true if the machine reaches no controller, though direct commands reach it */
   mute: (machine: string) => boolean = () => false;
   /** sees every report as it leaves, to deliver copies late */
