Controllers vouch for one another in an outage of all: no work is killed by it

Each status names the newest cancellation that its sender knows of and sends back a ping; one that is loaded and knows of none that is unread here vouches up to the moment that ping left.

--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -9,6 +9,7 @@
 import type { Rentals } from './rentals.js';
 import { Replica } from './replica.js';
 import { KEY, Table } from './table.js';
+import { Vouching } from './vouching.js';
 import { URGENCY, Writer } from './writer.js';
 
 /** How long a peer's silence is borne before its link counts as down. */
@@ -69,6 +70,7 @@
   readonly owner: Owner;
   readonly lead: Lead;
   readonly holdings: Holdings;
+  private readonly vouching: Vouching;
   private effects: Effect[] = [];
   private ids = 1;
   now: Ms = 0;
@@ -96,6 +98,10 @@
     this.owner = new Owner(this);
     this.lead = new Lead(this, this.owner);
     this.holdings = new Holdings(this);
+    this.vouching = new Vouching(
+      settings.nodes.map((n) => n.name).filter((n) => n !== settings.node),
+      boot,
+    );
   }
 
   // ---- context
@@ -353,7 +359,8 @@
   private mayKeep(now: Ms): boolean {
     if (!this.replica.loaded) return false;
     const { cancelS, leaseS, reportS } = this.settings.workers;
-    return now - this.freshAt < (cancelS - leaseS - reportS) * 1000;
+    const sure = Math.max(this.freshAt, this.vouching.since(now));
+    return now - sure < (cancelS - leaseS - reportS) * 1000;
   }
 
   /** A late copy must not make a silent machine seem alive: only what is newer counts. */
@@ -517,6 +524,7 @@
       else running.delete(job);
     }
     this.peers.set(status.node, { status, running, at: now, up: true });
+    this.vouching.heard(status, this.replica.revision);
     for (const h of status.heard) this.owner.reports.unchanged(h, status.node, now);
     this.after(now);
   }
@@ -610,7 +618,7 @@
     const lead = this.table.holder('lead')?.holder.node ?? null;
     for (const { name } of this.settings.nodes) {
       if (name === this.settings.node) continue;
-      const own: PeerStatus = { ...full, heard: heard.get(name) ?? [] };
+      const own: PeerStatus = { ...full, heard: heard.get(name) ?? [], ...this.vouching.toTell(name, now) };
       if (lead !== null && name !== lead) {
         own.shares = [];
         own.strangers = [];
@@ -650,6 +658,10 @@
       writes: Math.round(this.writer.wanted(now)),
       storeOk: this.storeOk(now),
       hears: this.hears(now),
+      loaded: this.replica.loaded,
+      cancelStamp: this.table.cancelStamp,
+      ping: '',
+      echo: '',
     };
   }
 
--- a/packages/core/src/table.ts
+++ b/packages/core/src/table.ts
@@ -90,6 +90,8 @@
   readonly jobs = new Map<string, Job>();
   /** jobs that are over, in short */
   readonly finals = new Map<string, 'done' | 'cancelled'>();
+  /** stamp of the newest cancellation that is known */
+  cancelStamp = 0;
   readonly machines = new Map<string, Machine>();
   readonly holders = new Map<string, { holder: Holder; stamp: number }>();
   /** controllers whose state lease was seen to end, and when */
@@ -188,7 +190,10 @@
     const r = entry.value as JobRecord;
     let job = this.jobs.get(id);
     if (r.s === 1) this.finals.set(id, 'done');
-    if (r.s === 2) this.finals.set(id, 'cancelled');
+    if (r.s === 2) {
+      this.finals.set(id, 'cancelled');
+      this.cancelStamp = Math.max(this.cancelStamp, entry.stamp);
+    }
     if (!job) {
       if (r.s !== 0 && !(r.s === 2 && r.sp)) return {};
       job = this.makeJob(r.sp as JobSpec);
--- a/packages/wire/src/peer.ts
+++ b/packages/wire/src/peer.ts
@@ -77,6 +77,14 @@
   storeOk: boolean;
   /** workers that it answered lately */
   hears: number;
+  /** holds all that the state service held at some moment since it began */
+  loaded: boolean;
+  /** stamp of the newest cancellation that it knows of: it has told users of no newer one */
+  cancelStamp: number;
+  /** names this status; the one that it is sent to sends it back */
+  ping: string;
+  /** the last ping that came from the one it is sent to, before all else here was worked out */
+  echo: string;
 }
 
 /** Is this a status, as another controller stored it? */
@@ -199,6 +207,10 @@
         writes: { type: 'uint32', id: 12 },
         hears: { type: 'uint32', id: 13 },
         runningAll: { type: 'bool', id: 14 },
+        loaded: { type: 'bool', id: 15 },
+        cancelStamp: { type: 'uint64', id: 16 },
+        ping: { type: 'string', id: 17 },
+        echo: { type: 'string', id: 18 },
       },
     },
   },
