--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -199,9 +199,10 @@
   assert.ok(copy);
   w.reboot();
   c.until('running again', () => c.running('run-a') === 2 && w.seq > 3, 40);
-  for (const late of [copy, { ...copy, seq: copy.seq + 40 }, { ...copy, session: 3 }])
+  for (const late of [copy, { ...copy, seq: copy.seq + 40, tasks: [] }, { ...copy, session: 3, seq: copy.seq + 500 }]) {
     for (const n of c.nodes) n.report(structuredClone(late), () => {});
-  c.run(8);
+    c.run(8);
+  }
   kept(c, 'begun-again-and-an-old-copy');
 });
 
@@ -247,6 +248,30 @@
   }
 });
 
+test('a cancellation, a question and a repeated submission meet the end of the last task, at a controller that is behind', () => {
+  const c = smallCluster(4);
+  for (const id of ['run-d', 'run-c']) c.submit(job(id, { estimateS: id === 'run-d' ? 6 : 500 }));
+  const behind = c.nodes.find((n) => n.name !== holderOf(c, shareOf(c, 'run-d')));
+  const told = c.nodes.find((n) => n !== behind);
+  assert.ok(behind && told);
+  c.until('running', () => c.running('run-d') === 1 && c.running('run-c') === 1);
+  c.run(2);
+  behind.lagging = true;
+  c.until('done', () => c.ask('run-d', told) === 'done', 8);
+  c.cancel('run-c', told);
+  const answers = ['run-d', 'run-c'].flatMap((id) => [
+    said(c, (then) => behind.poll(id, then)),
+    said(c, (then) => behind.submit(job(id), then)),
+    said(c, (then) => behind.cancel(id, then)),
+  ]);
+  c.run(0.6);
+  behind.lagging = false;
+  assert.deepEqual(
+    answers.map((a) => a()),
+    ['200 done', '200 done', '200 done', '200 aborted', '200 aborted', '200 aborted'],
+  );
+});
+
 test('every team is at its limit, a job is cancelled whose machine hangs, and its owner ends: no limit is passed', () => {
   for (const hangs of [4, 9, 30]) {
     const c = new Cluster();
--- a/test/stand-ins.ts
+++ b/test/stand-ins.ts
@@ -527,6 +527,14 @@
       const astray = cluster.deaf(this.name, e.machine) || cluster.commandsLost(this.name, e.machine);
       if (!w || w.dead || w.hung || cluster.cut(this.name, e.machine) || astray) {
         if (w?.hung) w.held.push(() => void w.command(e.token, e.session, e.commands));
+        // The network may deliver what was given up, long after.
+        else if (w && cluster.lateMs) {
+          cluster.at(cluster.now + cluster.lateMs(), () => {
+            const arrives = () => void w.command(e.token, e.session, e.commands);
+            if (w.hung) w.held.push(arrives);
+            else if (!w.dead) arrives();
+          });
+        }
         return later(2500, () => {
           this.asked -= question;
           core.commandResult(e.id, { kind: 'lost' }, cluster.now);
@@ -593,6 +601,8 @@
   cloudDown = false;
   /** says whether a transaction's answer is lost; `apply` carries it out, now or later */
   loseTxn: ((e: Extract<Effect, { t: 'txn' }>, apply: () => void) => boolean) | null = null;
+  /** commands that were lost arrive after so long all the same; null: never */
+  lateMs: (() => number) | null = null;
   /** true if the two can't reach each other */
   cut: (a: string, b: string) => boolean = () => false;
   /** true if what this controller sends doesn't reach the machine, though its reports arrive */
--- a/test/walk.ts
+++ b/test/walk.ts
@@ -35,6 +35,7 @@
   'deaf',
   'mute',
   'commands lost',
+  'commands late',
   'zone cut',
   'peers cut',
   'alone with its workers',
@@ -245,9 +246,12 @@
           c.mute = () => false;
         });
       case 'commands lost':
+      case 'commands late':
         c.commandsLost = (_n, m) => some.has(m);
+        if (kind === 'commands late') c.lateMs = () => 1000 + 30_000 * this.random();
         return this.after(s, () => {
           c.commandsLost = () => false;
+          c.lateMs = null;
         });
       case 'zone cut': {
         const west = (x: string) => x === 'n1' || c.worker(x)?.zone === 'west';
