--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -445,6 +445,108 @@
   c.until('done', () => c.ask('run-b', owner) === 'done', 30);
 });
 
+test('workers that reach no controller, while direct commands reach them: their work is asked for, and goes on', () => {
+  const c = smallCluster(6);
+  c.submit(job('run-v', { shape: 'service', tasks: 2, rank: 3, cls: 'serve' }));
+  c.until('running', () => c.running('run-v') === 2);
+  const muted = c.on('run-v')[0];
+  c.mute = (m) => m === muted;
+  // Its lease runs out meanwhile: only its own answers can tell that what it bore is gone.
+  c.until('its lease ran out', () => c.trace.some((l) => l.includes('kills')), 30);
+  c.until('running again', () => c.running('run-v') === 2, 8);
+  c.run(20);
+  c.mute = () => false;
+  c.run(10);
+  assert.equal(c.running('run-v'), 2);
+});
+
+test('an array that must be in one zone loses machines: the rest of it stays in that zone', () => {
+  const c = smallCluster(8);
+  c.submit(job('run-z', { tasks: 8, oneZone: true, estimateS: 20 }));
+  c.until('running', () => c.running('run-z') >= 4);
+  const zone = c.worker(c.on('run-z')[0] as string)?.zone;
+  for (const name of c.on('run-z').slice(0, 2)) {
+    const w = c.worker(name);
+    if (!w) continue;
+    w.dead = true;
+    w.tasks.clear();
+  }
+  // The other zone has room all the while; wrong_place is checked at each start.
+  c.until('done', () => c.ask('run-z') === 'done', 180);
+  for (const l of c.trace.filter((x) => x.includes('starts run-z')))
+    assert.equal(c.worker(l.trim().split(' ')[1] as string)?.zone, zone);
+});
+
+test('the lead and the owners change ten times in two minutes, twice inside an outage: work runs once and to its end', () => {
+  const c = smallCluster(8);
+  for (let k = 0; k < 6; k++)
+    c.submit(job(`run-t${k}`, { team: ['red', 'blue', 'green'][k % 3] as string, tasks: 3, estimateS: 25 }));
+  c.submit(job('run-v', { shape: 'service', tasks: 2, rank: 3, cls: 'serve' }));
+  for (let k = 0; k < 10; k++) {
+    c.stateDown = k === 3 || k === 4;
+    const ends = c.node(k % 2 === 0 ? holderOf(c, 'lead') || 'n2' : holderOf(c, k % 3) || 'n0');
+    ends.crash();
+    c.run(k % 4 === 0 ? 0.3 : 3);
+    ends.restart();
+    c.run(9);
+  }
+  for (let k = 0; k < 6; k++) c.until('done', () => c.ask(`run-t${k}`) === 'done', 120);
+  assert.equal(c.running('run-v'), 2);
+});
+
+test('tasks of one array end far apart, and the owner ends in between: what is done is not run again', () => {
+  const c = smallCluster(1);
+  // One machine, room for one: they run one after the other.
+  c.submit(job('run-f', { tasks: 3, cpus: 4, estimateS: 8 }));
+  for (let k = 1; k <= 3; k++) {
+    c.until('one more ended', () => c.finished.size === k, 60);
+    const owner = c.node(holderOf(c, 0));
+    // At once after the end, before anything of it can be stored, and a moment later.
+    c.run(k === 1 ? 0 : 1.5);
+    owner.crash();
+    c.run(0.3);
+    owner.restart();
+    c.run(2);
+  }
+  c.until('done', () => c.ask('run-f') === 'done', 60);
+  for (let i = 0; i < 3; i++) assert.equal(c.trace.filter((l) => l.includes(`starts run-f/${i}`)).length, 1);
+  kept(c, 'ends-far-apart');
+});
+
+test('all controllers end and one is back within a second, the others later; then a share goes to and fro', () => {
+  const c = smallCluster(8);
+  c.submit(job('run-v', { shape: 'service', tasks: 3, rank: 3, cls: 'serve' }));
+  c.submit(job('run-a', { team: 'blue', tasks: 4, estimateS: 40 }));
+  c.until('running', () => c.running('run-v') === 3 && c.running('run-a') === 4);
+  for (let round = 0; round < 3; round++) {
+    for (const n of c.nodes) n.crash();
+    c.run(0.3);
+    (c.nodes[round] as Node).restart();
+    c.run(round === 1 ? 8 : 0.4);
+    for (const n of c.nodes) if (!n.up) n.restart();
+    c.run(5);
+  }
+  c.until('done', () => c.ask('run-a') === 'done', 90);
+  assert.equal(c.running('run-v'), 3);
+});
+
+test('all controllers are away for longer than a lease: what died with it runs again, once', () => {
+  const c = smallCluster(6);
+  c.submit(job('run-v', { shape: 'service', tasks: 2, rank: 3, cls: 'serve' }));
+  c.submit(job('run-a', { team: 'blue', tasks: 3, estimateS: 30 }));
+  c.until('running', () => c.running('run-v') === 2 && c.running('run-a') === 3);
+  for (const n of c.nodes) n.crash();
+  c.run(20);
+  assert.equal(c.running('run-v') + c.running('run-a'), 0);
+  for (const n of c.nodes) n.restart();
+  c.until('done', () => c.ask('run-a') === 'done', 90);
+  assert.equal(c.running('run-v'), 2);
+  assert.deepEqual(
+    c.workers.filter((w) => w.dead),
+    [],
+  );
+});
+
 function writer(lease = () => null as number | null) {
   const replica = new Replica(() => {});
   const sent: Extract<Effect, { t: 'txn' }>[] = [];
