--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -114,6 +114,8 @@
       for (const w of c.workers) w.target = c.nodes.indexOf(old);
       c.cut = (a, b) => a !== old.name && a.startsWith('n') && !b.startsWith('n');
       old.refused = true;
+      // The third knows no more than the old one: all depends on what the one that confirmed says.
+      for (const n of c.nodes) if (n !== confirming) n.lagging = true;
       c.run(0.2);
       for (const id of ids) c.cancel(id, confirming);
       trouble.after?.(c, confirming.name);
@@ -173,6 +175,40 @@
   kept(c, 'released-and-not-told');
 });
 
+test('a start is held up on its way, its sender ends and is back at once: it finds a higher token', () => {
+  const c = smallCluster(4);
+  c.commandsLost = () => true;
+  c.lateMs = () => 9000;
+  c.submit(job('run-a', { estimateS: 60 }));
+  const owner = c.node(holderOf(c, 0));
+  c.until('sent', () => [...(owner.core.table.jobs.get('run-a')?.placements.values() ?? [])].some((p) => p.phase === 'sent'), 5);
+  owner.crash();
+  c.commandsLost = () => false;
+  c.run(0.3);
+  owner.restart();
+  c.until('running', () => c.running('run-a') === 1, 20);
+  c.run(15);
+  assert.equal(c.trace.filter((l) => l.includes('starts run-a')).length, 1);
+});
+
+test('a controller that the state service alone refuses starts nothing that others may have called off meanwhile', () => {
+  const c = smallCluster(2);
+  c.submit(job('run-a', { tasks: 4, estimateS: 9 }));
+  c.until('full', () => c.running('run-a') === 4);
+  c.submit(job('run-z', { tasks: 2, estimateS: 9 }));
+  c.run(1);
+  const owner = c.node(holderOf(c, 0));
+  owner.refused = true;
+  c.run(0.5);
+  c.cancel(
+    'run-z',
+    c.nodes.find((n) => n !== owner),
+  );
+  c.until('room comes free', () => c.finished.size === 4, 12);
+  c.run(15);
+  assert.ok(!c.trace.some((l) => l.includes('starts run-z')));
+});
+
 test('direct commands to a machine are lost while the cloud is down: the answers to its reports stop what is cancelled', () => {
   const c = smallCluster(4);
   c.submit(job('run-c', { zone: 'east', estimateS: 500 }));
@@ -310,9 +346,15 @@
     const other = c.nodes.find((n) => n !== ends);
     c.cancel('run-green0', other);
     ends.crash();
+    c.run(0.3);
+    ends.restart();
+    c.run(1.5);
+    // Newer than the new holding: it can be nowhere yet, and needs no proof but its team's part of the limit.
+    c.cloudDown = true;
+    c.submit(job('run-green8', { ...gang, team: 'green', estimateS: 5 }), other);
     c.run(hangs);
     machine.hung = false;
-    ends.restart();
+    c.cloudDown = false;
     // The rules are checked after every step; the next of the team gets its turn once that is proven.
     c.until('its turn', () => c.finished.has('run-green9/0'), 120);
     assert.equal(c.on('run-green0').length, 0);
@@ -518,8 +560,10 @@
   for (let k = 1; k <= 3; k++) {
     c.until('one more ended', () => c.finished.size === k, 60);
     const owner = c.node(holderOf(c, 0));
-    // At once after the end, before anything of it can be stored, and a moment later.
+    // At once after the end, or when it is known and what was to be stored of it is lost.
+    c.loseTxn = (e) => e.writes.some((w) => 'put' in w && /^a\/[pj]\//.test(w.put));
     c.run(k === 1 ? 0 : 1.5);
+    c.loseTxn = null;
     owner.crash();
     c.run(0.3);
     owner.restart();
