--- a/packages/core/src/commands.ts
+++ b/packages/core/src/commands.ts
@@ -45,7 +45,7 @@
     const ask: Machine[] = [];
     for (const m of this.cx.table.machines.values()) {
       if (!this.cx.acts(m.share)) continue;
-      if (m.inflight !== 0 || m.giveBack !== '' || m.addr === '' || now < m.retryAt || m.dirty || m.bumping) continue;
+      if (m.inflight !== 0 || m.giveBack !== '' || m.addr === '' || now < m.retryAt || m.dirty || m.raisingToken) continue;
       // Silent, not answering, or odd: ask, rather than wait for the next report.
       const odd = now - m.heardAt > this.cx.settings.workers.reportS * 2000 || m.lostCount > 0 || m.ask;
       if (m.resolved && !odd) this.flush(m, now);
--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -93,7 +93,7 @@
         this.giveUp(m, 'cut off for longer than its work lives');
       if (m.giveBack === '' && this.unreachable(m, now) && !manyLost(m.zone) && this.trusted(now, now - m.lostSince))
         this.giveUp(m, 'can not be reached');
-      if (m.dirty && !m.bumping && m.inflight === 0 && !m.giveBack) this.bump(m);
+      if (m.dirty && !m.raisingToken && m.inflight === 0 && !m.giveBack) this.raiseToken(m);
     }
     if (back.length > 0 && now >= this.nextReturnAt) {
       const id = this.cx.nextId();
@@ -303,9 +303,9 @@
    * Guards against a command that we gave up on and that is executed late: the worker
    * takes nothing older once it has seen the higher token.
    */
-  private bump(m: Machine): void {
+  private raiseToken(m: Machine): void {
     if (m.grantQueued) return;
-    m.bumping = true;
+    m.raisingToken = true;
     m.grantQueued = true;
     const n = m.grantStamp;
     this.cx.writer.add({
@@ -322,7 +322,7 @@
       urgency: URGENCY.release,
       done: (o) => {
         m.grantQueued = false;
-        m.bumping = false;
+        m.raisingToken = false;
         if (o === 'ok') {
           m.dirty = false;
           m.resolved = false;
--- a/packages/core/src/model.ts
+++ b/packages/core/src/model.ts
@@ -245,7 +245,7 @@
   suspect = false;
   /** a command's fate is unknown: its token must rise before it is used again */
   dirty = false;
-  bumping = false;
+  raisingToken = false;
   inflight = 0;
   /** when it was last told something */
   toldAt: Ms = -1e12;
--- a/packages/core/src/owner.ts
+++ b/packages/core/src/owner.ts
@@ -96,7 +96,7 @@
     m.probed = false;
     m.bearsRank = -1;
     m.dirty = false;
-    m.bumping = false;
+    m.raisingToken = false;
     m.inflight = 0;
     m.retryAt = 0;
     m.session = 0;
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -191,6 +191,18 @@
   assert.equal(c.trace.filter((l) => l.includes('starts run-a')).length, 1);
 });
 
+test('a start is lost for good: the token rises, and the task is started anew', () => {
+  const c = smallCluster(4);
+  c.commandsLost = () => true;
+  c.submit(job('run-a', { estimateS: 60 }));
+  const token = () => Math.max(...c.workers.map((w) => w.token));
+  const before = token();
+  c.run(1);
+  c.commandsLost = () => false;
+  c.until('running', () => c.running('run-a') === 1, 20);
+  assert.ok(token() > before);
+});
+
 test('a controller that the state service alone refuses starts nothing that others may have called off meanwhile', () => {
   const c = smallCluster(2);
   c.submit(job('run-a', { tasks: 4, estimateS: 9 }));
