--- a/packages/core/src/reports.ts
+++ b/packages/core/src/reports.ts
@@ -7,7 +7,7 @@
 
 /** A worker numbers its reports, two a second at most, and its answers to questions and commands. */
 const MESSAGES_PER_S = 10;
-const MESSAGES_AT_ONCE = 50;
+const MESSAGES_AT_ONCE = 200;
 
 /** What workers say, taken for what it is worth. */
 export class Reports {
