--- a/packages/core/src/commands.ts
+++ b/packages/core/src/commands.ts
@@ -115,7 +115,7 @@
    * its answer for each, a swarm of them took what processor time there was.
    */
   private canWait(m: Machine, cmds: Command[], started: Placement[], now: Ms): boolean {
-    if (cmds.some((c) => c.op === 'stop') || started.some((p) => p.job.spec.rank > 0)) return false;
+    if (cmds.some((c) => c.op === 'stop') || started.some((p) => p.job.rank > 0)) return false;
     if (started.length > 0) return now - m.toldAt < LOW_STARTS_MS;
     // What would be empty without them may be wanted elsewhere.
     if (m.moveTo >= 0 || m.retire || m.noticeUntil >= 0) return false;
--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -8,7 +8,9 @@
 import { Owner } from './owner.js';
 import type { Rentals } from './rentals.js';
 import { Replica } from './replica.js';
-import { KEY, Table } from './table.js';
+import { ChangeRate, encodedBytes } from './state-limits.js';
+import { fitStatus } from './stored-status.js';
+import { type Applied, KEY, Table } from './table.js';
 import { Vouching } from './vouching.js';
 import { URGENCY, Writer } from './writer.js';
 
@@ -71,6 +73,7 @@
   readonly lead: Lead;
   readonly holdings: Holdings;
   private readonly vouching: Vouching;
+  private readonly changeRate: ChangeRate;
   private effects: Effect[] = [];
   private ids = 1;
   now: Ms = 0;
@@ -84,15 +87,17 @@
     readonly boot: string,
   ) {
     this.table = new Table(settings);
+    this.changeRate = new ChangeRate(settings.state);
     this.replica = new Replica((key, entry) => this.keyChanged(key, entry));
     const share = 0.95 / Math.max(1, settings.nodes.length);
     this.writer = new Writer(
-      { writesPerS: Math.max(1, settings.state.writeRps * share), txnOps: settings.state.txnOps },
+      { writesPerS: Math.max(1, settings.state.writeRps * share), ...this.table.sizes },
       this.replica,
       (e) => this.emit(e),
       () => this.lease.permit,
       (now, run) => this.afterBarrier(now, run),
       () => this.leaseLost(),
+      (key, bytes) => this.log('warn', 'a change is too large for the state service', { key, bytes }),
     );
     this.desk = new Desk(this);
     this.owner = new Owner(this);
@@ -186,11 +191,12 @@
       }
       this.owner.machineChanged(c.machine, c.moved === true, this.now);
     }
-    if (c.job) this.owner.jobChanged(c.job);
+    if (c.unreadable) this.log('warn', 'a stored record can not be read', { key, error: `${c.unreadable} can not be read` });
+    for (const job of c.jobs ?? []) this.owner.jobChanged(job);
   }
 
   /** One record that can't be read, of another version say, must not keep the rest from being read. */
-  private read(key: string, entry: { value: unknown; stamp: number } | null): ReturnType<Table['apply']> | null {
+  private read(key: string, entry: { value: unknown; stamp: number } | null): Applied | null {
     try {
       return this.table.apply(key, entry, this.now);
     } catch (e) {
@@ -223,6 +229,7 @@
   txnResult(id: number, r: Parameters<Writer['result']>[1], now: Ms): void {
     this.now = now;
     if (r.kind !== 'refused' && r.kind !== 'unknown') this.storeAt = now;
+    if (r.kind === 'limited') this.changeRate.refused(now);
     this.writer.result(id, r, now);
     this.after(now);
   }
@@ -482,21 +489,25 @@
   types(list: MachineType[] | null, now: Ms): void {
     this.now = now;
     if (!list || list.length === 0) return;
-    const known = this.replica.get(KEY.types);
     this.table.setTypes(list);
-    if (!known && this.replica.loaded) {
-      this.writer.add({
-        key: KEY.types,
-        value: () => list,
-        guard: 0,
-        urgency: URGENCY.progress,
-        until: now + 10_000,
-        done: () => {},
-      });
-    }
+    const known = this.replica.get(KEY.types) ?? this.replica.get(KEY.typesPart(0));
+    if (!known && this.replica.loaded) this.storeTypes(list, now);
     this.after(now);
   }
 
+  /** Kept for a start while the cloud's interface is down; in parts where the list outgrows a value. */
+  private storeTypes(list: MachineType[], now: Ms): void {
+    const { changeBytes } = this.table.sizes;
+    if (encodedBytes(KEY.types, list) <= changeBytes) return this.storeOnce(KEY.types, list, now);
+    list.forEach((type, index) => {
+      this.storeOnce(KEY.typesPart(index), { count: list.length, list: [type] }, now);
+    });
+  }
+
+  private storeOnce(key: string, value: unknown, now: Ms): void {
+    this.writer.add({ key, value: () => value, guard: 0, urgency: URGENCY.progress, until: now + 10_000, done: () => {} });
+  }
+
   listed(machines: Listed[] | null, now: Ms): void {
     this.now = now;
     this.lead.rentals.list(machines, this.lead.leading, now);
@@ -552,25 +563,9 @@
     if (!this.replica.loaded || !this.leaseValid(now) || this.telling || now - this.toldAt < 2000) return;
     this.toldAt = now;
     this.telling = true;
-    const full = this.status(now);
-    const status: PeerStatus = {
-      ...full,
-      running: [],
-      runningAll: false,
-      heard: (this.heardLately(now).get(lead) ?? []).slice(0, 100),
-      strangers: full.strangers.slice(0, 20),
-    };
-    const limit = this.settings.state.valueKb * 1024 * 0.85;
-    if (JSON.stringify(status).length > limit) {
-      // Machines that can't be moved anyway need not be told.
-      status.shares = status.shares.map((s) => ({
-        ...s,
-        machines: s.machines.filter((m) => m.tasks === 0).slice(0, 15),
-        demands: s.demands.slice(0, 8),
-      }));
-    }
-    if (JSON.stringify(status).length > limit) status.heard = [];
     const key = KEY.status(this.settings.node);
+    const full: PeerStatus = { ...this.status(now), heard: this.heardLately(now).get(lead) ?? [] };
+    const status = fitStatus(key, full, this.table.sizes.changeBytes);
     this.writer.add({
       key,
       value: () => status,
@@ -593,7 +588,7 @@
    */
   private shareWrites(now: Ms): void {
     const n = Math.max(1, this.settings.nodes.length);
-    const all = this.settings.state.writeRps * 0.95;
+    const all = this.changeRate.perSecond(now) * 0.95;
     const floor = (0.3 * all) / n;
     const mine = this.writer.wanted(now);
     let free = all - floor;
@@ -695,8 +690,10 @@
     return this.freshAt < this.pausedAt && this.now - this.pausedAt < SETTLE_MS;
   }
 
-  tick(now: Ms): void {
+  /** `wall`: the time of day, to which stored times of submissions and ends refer. */
+  tick(now: Ms, wall: Ms = now): void {
     this.now = now;
+    this.table.wallOffset = wall - now;
     const late = this.waiters.filter((w) => now > w.until);
     if (late.length > 0) {
       this.waiters = this.waiters.filter((w) => now <= w.until);
--- a/packages/core/src/desk.ts
+++ b/packages/core/src/desk.ts
@@ -1,9 +1,10 @@
-import { JOB_ID, type JobSpec, jobAnswer, parseSubmission } from '@archpost/wire';
+import { JOB_ID, type JobSpec, jobAnswer, parseSubmission, type Submission } from '@archpost/wire';
 import type { Context } from './context.js';
+import { type EncodedJob, encodeAcceptedJob, encodeCancelledJob, readJobRecord } from './job-record.js';
 import type { Job, Ms } from './model.js';
 import { copies } from './placement.js';
-import { type JobRecord, KEY } from './table.js';
-import { URGENCY } from './writer.js';
+import { KEY } from './table.js';
+import { URGENCY, type WriteOutcome } from './writer.js';
 
 /** Users wait 5 s for an answer to a submission and 2 s for one to a poll. */
 const SUBMIT_MS = 4000;
@@ -12,9 +13,6 @@
 /** Within this time of a job's acceptance nobody can have been told of its end. */
 const PROMPT_MS = 150;
 
-/** Bytes of a value left to what the record gets later, and to how the service counts. */
-const RECORD_SPARE = 256;
-
 const NO_SUCH_JOB = { error: 'no such job' };
 
 /** Users' requests, at any controller. */
@@ -51,54 +49,129 @@
     if (!this.cx.replica.loaded || !this.cx.table.typesKnown) return this.busy(id, 'not ready');
     if (!this.cx.storeOk(now)) return this.busy(id, 'the state service does not answer');
     if (this.cx.table.jobs.has(spec.id)) return this.known(id, spec.id, now);
+    if (this.refusal(parsed)) return this.confirmRefusal(id, parsed, now, wall);
+    this.accept(id, parsed, wall, now + SUBMIT_MS);
+  }
+
+  /** Why the submission is to be refused, by what is known here, or null. */
+  private refusal({ spec, awaits }: Submission): string | null {
     const never = this.neverRuns(spec);
-    if (never) {
-      this.cx.afterBarrier(
-        now,
-        () => {
-          const state = this.state(spec.id);
-          if (state) this.answer(id, 200, jobAnswer(spec.id, state));
-          else this.answer(id, 422, { error: never });
-        },
-        now + SUBMIT_MS,
-        () => this.busy(id, 'the state service does not answer'),
-      );
-      return;
-    }
+    if (never) return never;
+    if (awaits.includes(spec.id)) return 'the job awaits itself';
+    const unknown = awaits.find((other) => !this.wasAccepted(other));
+    return unknown === undefined ? null : `it awaits ${unknown}, which was never accepted`;
+  }
+
+  private wasAccepted(job: string): boolean {
+    return this.cx.table.finals.has(job) || this.cx.replica.get(KEY.job(job)) !== null;
+  }
+
+  /** The job, or one that it awaits, may have been accepted elsewhere a moment ago: only a newer reading tells. */
+  private confirmRefusal(id: number, submission: Submission, now: Ms, wall: number): void {
+    const { spec } = submission;
+    const until = now + SUBMIT_MS;
+    this.cx.afterBarrier(
+      now,
+      () => {
+        const state = this.state(spec.id);
+        const refusal = this.refusal(submission);
+        if (state) this.answer(id, 200, jobAnswer(spec.id, state));
+        else if (refusal) this.answer(id, 422, { error: refusal });
+        else this.accept(id, submission, wall, until);
+      },
+      until,
+      () => this.busy(id, 'the state service does not answer'),
+    );
+  }
+
+  /** Stores the job, and answers once it is stored. */
+  private accept(id: number, { spec, awaits }: Submission, wall: number, until: Ms): void {
     if (this.crowded()) return this.busy(id, 'overloaded');
-    const record: JobRecord = { s: 0, t: wall, sp: spec };
-    // The state service would refuse it, and all that is written with it.
-    if (Buffer.byteLength(JSON.stringify(record)) > this.cx.settings.state.valueKb * 1024 - RECORD_SPARE)
-      return this.answer(id, 400, { error: 'its names are too long to be stored' });
+    const key = KEY.job(spec.id);
+    const encoded = this.encode(key, spec, awaits, wall);
+    if (!encoded) return this.answer(id, 400, { error: 'its names are too long to be stored' });
     let over = false;
-    let sentAt = now;
+    const end = (answer: () => void) => {
+      if (over) return;
+      over = true;
+      answer();
+    };
+    const unanswered = () => end(() => this.busy(id, 'the state service does not answer'));
+    this.storeParts(spec.id, encoded, until, (stored) => {
+      if (!stored || over) return unanswered();
+      this.storeAcceptance(key, encoded.record, until, (outcome, sentAt) => {
+        if (outcome === 'ok') end(() => this.accepted(id, spec.id, sentAt));
+        else if (outcome === 'conflict') end(() => this.acceptedElsewhere(id, spec.id));
+        else unanswered();
+      });
+    });
+    this.expire(until, unanswered);
+  }
+
+  private encode(key: string, spec: JobSpec, awaits: string[], wall: number): EncodedJob | null {
+    const { table } = this.cx;
+    const ordered = spec.types === null ? spec : { ...spec, types: this.knownTypesFirst(spec.types) };
+    // What is stored as done needs no edge.
+    const open = awaits.filter((other) => table.finals.get(other) !== 'done');
+    const encoded = encodeAcceptedJob(key, ordered, open, wall, table.sizes.changeBytes);
+    if (encoded === null || encoded.parts.length === 0) return encoded;
+    // In parts the whole list is stored, so that a repeated submission finds the same parts.
+    return encodeAcceptedJob(key, ordered, awaits, wall, table.sizes.changeBytes);
+  }
+
+  /** An older version reads only the machine types that come first: such as it can use serve it best. */
+  private knownTypesFirst(types: string[]): string[] {
+    const known = new Set(this.cx.table.types.flatMap((type) => (type ? [type.name] : [])));
+    return [...types.filter((type) => known.has(type)), ...types.filter((type) => !known.has(type))];
+  }
+
+  /** The parts come before the record that makes them valid: what is left of a submission that fails harms nobody. */
+  private storeParts(job: string, { parts, group }: EncodedJob, until: Ms, then: (stored: boolean) => void): void {
+    const { replica, writer } = this.cx;
+    const missing = parts
+      .map((part, index) => ({ part, key: KEY.jobPart(job, group, index) }))
+      .filter(({ key }) => replica.get(key) === null);
+    let left = missing.length;
+    let failed = false;
+    if (left === 0) return then(true);
+    for (const { part, key } of missing) {
+      writer.add({
+        key,
+        value: () => part,
+        guard: 0,
+        urgency: URGENCY.accept,
+        until,
+        done: () => {
+          // A key of this name holds the same, whoever wrote it.
+          failed ||= replica.get(key) === null;
+          left--;
+          if (left === 0) then(!failed);
+        },
+      });
+    }
+  }
+
+  private storeAcceptance(key: string, record: unknown, until: Ms, then: (outcome: WriteOutcome, sentAt: Ms) => void): void {
+    let sentAt = this.cx.now;
     this.cx.writer.add({
-      key: KEY.job(spec.id),
+      key,
       value: (at) => {
         sentAt = at;
         return record;
       },
       guard: 0,
       urgency: URGENCY.accept,
-      until: now + SUBMIT_MS,
-      done: (outcome) => {
-        if (over) return;
-        over = true;
-        if (outcome === 'ok') this.accepted(id, spec.id, sentAt);
-        else if (outcome === 'conflict') {
-          const state = this.state(spec.id);
-          if (state) this.answer(id, 200, jobAnswer(spec.id, state));
-          else this.busy(id, 'try again');
-        } else this.busy(id, 'the state service does not answer');
-      },
-    });
-    this.expire(now + SUBMIT_MS, () => {
-      if (over) return;
-      over = true;
-      this.busy(id, 'the state service does not answer');
+      until,
+      done: (outcome) => then(outcome, sentAt),
     });
   }
 
+  private acceptedElsewhere(id: number, job: string): void {
+    const state = this.state(job);
+    if (state) this.answer(id, 200, jobAnswer(job, state));
+    else this.busy(id, 'try again');
+  }
+
   /**
    * The answer to the transaction may have been long on its way, and the job have run to its end, or been
    * called off at another controller, which has told so: then nothing older than that is said here.
@@ -209,8 +282,7 @@
   }
 
   private finalAnswer(id: string, state: 'done' | 'cancelled') {
-    const record = this.cx.replica.get(KEY.job(id))?.value as (JobRecord & { n?: number }) | undefined;
-    const n = record?.sp?.tasks ?? record?.n ?? 0;
+    const n = readJobRecord(this.cx.replica.get(KEY.job(id))?.value)?.tasks ?? 0;
     return jobAnswer(id, state, { done: state === 'done' ? n : 0, running: 0 });
   }
 
@@ -238,11 +310,11 @@
       );
       return;
     }
-    const record = entry.value as JobRecord;
+    const key = KEY.job(job);
     let over = false;
     this.cx.writer.add({
-      key: KEY.job(job),
-      value: () => ({ ...record, s: 2 }),
+      key,
+      value: () => encodeCancelledJob(key, entry.value, this.cx.table.sizes.changeBytes),
       guard: entry.stamp,
       urgency: URGENCY.cancel,
       until,
--- a/packages/core/src/model.ts
+++ b/packages/core/src/model.ts
@@ -18,6 +18,8 @@
   afterS: number | null;
   share: number | null;
   most: number | null;
+  /** how many times its deadline's time a job may take */
+  times?: number | null;
 }
 
 export interface Policy {
@@ -33,6 +35,14 @@
   maxMachines: number | null;
 }
 
+/** What the state service takes: requests and changes a second, size of a value, changes in a transaction. */
+export interface StateLimits {
+  rps: number;
+  writeRps: number;
+  valueKb: number;
+  txnOps: number;
+}
+
 export interface CoreSettings {
   node: string;
   zone: string;
@@ -47,7 +57,10 @@
   cpuShare: number;
   /** connections that it may have open */
   sockets: number;
-  state: { rps: number; writeRps: number; valueKb: number; txnOps: number };
+  state: StateLimits & {
+    /** limits that the state service will have at some later time, as far as they are announced */
+    next: Partial<StateLimits> | null;
+  };
   cloud: { rps: number; listLagS: number };
   policy: Policy;
 }
@@ -137,8 +150,22 @@
   stamp = 0;
   /** first seen here */
   arrivedAt: Ms = 0;
-  /** wall time of the submission */
+  /** time of day of the submission, ms */
   wall = 0;
+  /** ids of jobs that have to be stored as done before any task starts */
+  readonly awaited = new Set<string>();
+  /** parts of its record that were not read yet; infinite where a list can't be read */
+  missingParts = 0;
+  /** time of day when the last job that it awaited was done; 0: it awaited none, or the time isn't known */
+  readyAt: Ms = 0;
+  /** its own rank, or that of the most urgent job that needs it */
+  rank: number;
+  /** time of day by which it should be done, by its own deadline alone and the time it had from its submission */
+  deadlineAt: Ms = Number.POSITIVE_INFINITY;
+  deadlineSpan: Ms = 0;
+  /** time of day by which it should be done so that all that needs it is in time, and that deadline's time from submission */
+  endBy: Ms = Number.POSITIVE_INFINITY;
+  endBySpan: Ms = 0;
   doneCount = 0;
   done: Uint8Array;
   stored: Uint8Array;
@@ -178,10 +205,11 @@
     readonly spec: JobSpec,
     readonly team: number,
     readonly share: number,
-    readonly types: number[] | null,
+    public types: number[] | null,
     readonly zone: number,
     readonly image: number,
   ) {
+    this.rank = spec.rank;
     this.done = new Uint8Array(spec.tasks);
     this.stored = new Uint8Array(spec.tasks);
   }
@@ -190,6 +218,21 @@
     return this.spec;
   }
 
+  /** It awaits others, or what it awaits isn't known yet: none of its tasks may start. */
+  get waits(): boolean {
+    return this.awaited.size > 0 || this.missingParts > 0;
+  }
+
+  /** The submission tells by when the job should be done. */
+  setSubmitted(at: Ms): void {
+    this.wall = at;
+    if (this.spec.deadlineS === null) return;
+    this.deadlineSpan = this.spec.deadlineS * 1000;
+    this.deadlineAt = at + this.deadlineSpan;
+    this.endBy = this.deadlineAt;
+    this.endBySpan = this.deadlineSpan;
+  }
+
   /** Tasks that are neither done nor anywhere. */
   pendingCount(): number {
     let placedUndone = 0;
--- a/packages/core/src/order.ts
+++ b/packages/core/src/order.ts
@@ -1,4 +1,5 @@
 import type { Context } from './context.js';
+import { expectedMs } from './dependencies.js';
 import type { Job, Ms } from './model.js';
 import type { Work } from './work.js';
 
@@ -22,17 +23,25 @@
 /** Who comes first: ranks, guarantees, and the objectives that can still be kept. */
 export class Order {
   private readonly objectives = new Map<string, { wait: boolean; withinMs: Ms }[]>();
+  /** how many times their deadlines' time jobs of a class may take, for each objective about deadlines */
+  private readonly deadlineTimes = new Map<string, number[]>();
+  /** those of all classes: which class a deadline came from isn't inherited */
+  private readonly inheritedTimes: number[];
 
   constructor(
     private readonly cx: Context,
     private readonly work: Work,
   ) {
     for (const o of cx.settings.objectives) {
+      if (o.cls !== null && o.kind === 'deadline')
+        this.deadlineTimes.set(o.cls, [...(this.deadlineTimes.get(o.cls) ?? []), o.times ?? 1]);
       if (o.cls === null || o.withinS === null || (o.kind !== 'wait' && o.kind !== 'finished')) continue;
       const list = this.objectives.get(o.cls) ?? [];
       list.push({ wait: o.kind === 'wait', withinMs: o.withinS * 1000 });
       this.objectives.set(o.cls, list);
     }
+    const times = new Set([...this.deadlineTimes.values()].flat());
+    this.inheritedTimes = times.size > 0 ? [...times] : [1];
   }
 
   /**
@@ -43,7 +52,7 @@
     const out: Guarantees = new Map();
     const sums = this.cx.settings.teams.map(() => ({ cpus: 0, gpus: 0 }));
     const jobs = [...this.cx.table.jobs.values()]
-      .filter((j) => j.state === 'live' && this.work.held.has(j.share))
+      .filter((j) => j.state === 'live' && !j.waits && this.work.held.has(j.share))
       .sort((a, b) => a.stamp - b.stamp);
     for (const j of jobs) {
       const t = this.cx.settings.teams[j.team];
@@ -80,9 +89,23 @@
       const at = j.arrivedAt + o.withinMs - (o.wait ? fetch : run + fetch);
       if (at > now - 1000) out.push(at);
     }
+    for (const at of this.latestStarts(j)) if (at > now - 1000) out.push(at);
     return out.sort((a, b) => a - b);
   }
 
+  /**
+   * By when the job should start for its own deadline, if its class has objectives about them, or for those of the
+   * jobs that need it. Stored times are of the time of day.
+   */
+  private latestStarts(j: Job): Ms[] {
+    const own = this.deadlineTimes.get(j.spec.cls);
+    const inherited = j.endBy < j.deadlineAt;
+    if (own === undefined && !inherited) return [];
+    const startBy = j.endBy - this.cx.table.wallOffset - expectedMs(j);
+    const times = inherited ? this.inheritedTimes : (own ?? [1]);
+    return times.map((factor) => startBy + (factor - 1) * j.endBySpan);
+  }
+
   private noneLeft(j: Job): Ms {
     return j.arrivedAt + (this.objectives.has(j.spec.cls) ? 1e7 : (j.spec.deadlineS ?? 600) * 1000);
   }
@@ -100,13 +123,13 @@
   queue(guar: Guarantees, now: Ms): Waiting[] {
     const out: Waiting[] = [];
     for (const j of this.cx.table.jobs.values()) {
-      if (!this.work.held.has(j.share) || j.state !== 'live' || j.pendingCount() === 0) continue;
+      if (j.waits || !this.work.held.has(j.share) || j.state !== 'live' || j.pendingCount() === 0) continue;
       out.push({ j, g: guar.get(j) ?? { within: false, firm: false }, due: this.dueOf(j, now), aged: this.aged(j, now) });
     }
     this.postpone(out, now);
     return out.sort(
       (a, b) =>
-        b.j.spec.rank - a.j.spec.rank ||
+        b.j.rank - a.j.rank ||
         Number(b.aged) - Number(a.aged) ||
         (a.aged ? a.j.stamp - b.j.stamp : 0) ||
         Number(b.g.within) - Number(a.g.within) ||
@@ -126,8 +149,8 @@
     const shares = new Map<string, Waiting[]>();
     for (const w of queue) {
       // Of the lowest rank there may be hundreds, and others' room to wait for: they go as they came.
-      if (w.j.spec.rank === 0 || w.j.spec.shape !== 'array' || w.j.spec.gpus > 0 || this.work.blame.broken(w.j)) continue;
-      const key = `${w.j.share}/${w.j.spec.rank}/${w.g.within}`;
+      if (w.j.rank === 0 || w.j.spec.shape !== 'array' || w.j.spec.gpus > 0 || this.work.blame.broken(w.j)) continue;
+      const key = `${w.j.share}/${w.j.rank}/${w.g.within}`;
       const list = shares.get(key);
       if (list) list.push(w);
       else shares.set(key, [w]);
@@ -171,7 +194,7 @@
   private pace(job: Job): number {
     let cpus = 0;
     for (const j of this.cx.table.jobs.values()) {
-      if (j.share !== job.share || j.spec.shape !== 'array' || j.spec.gpus > 0 || j.spec.rank !== job.spec.rank) continue;
+      if (j.share !== job.share || j.spec.shape !== 'array' || j.spec.gpus > 0 || j.rank !== job.rank) continue;
       cpus += j.placements.size * j.spec.cpus;
     }
     return cpus;
--- a/packages/core/src/owner.ts
+++ b/packages/core/src/owner.ts
@@ -50,7 +50,8 @@
       if (
         j.share === share &&
         j.state === 'live' &&
-        j.spec.rank === TOP_RANK &&
+        !j.waits &&
+        j.rank === TOP_RANK &&
         !this.work.blame.broken(j) &&
         j.pendingCount() > 0
       )
@@ -269,7 +270,7 @@
       for (const p of m.placements.values()) {
         if (p.phase === 'exited' || (p.job.spec.shape === 'service' && clearable.has(m))) continue;
         // Within a guarantee it gives way to the highest rank only.
-        firmRank = Math.max(firmRank, p.job.spec.rank, guar.get(p.job)?.firm ? TOP_RANK - 1 : -1);
+        firmRank = Math.max(firmRank, p.job.rank, guar.get(p.job)?.firm ? TOP_RANK - 1 : -1);
       }
       if (!this.work.usable(m, now)) firmRank = 9;
       machines.push({
@@ -300,7 +301,7 @@
         s.types?.join(',') ?? '',
         s.zone ?? '',
         s.spot,
-        s.rank,
+        u.job.rank,
         u.within,
         s.shape,
         notZones,
@@ -322,7 +323,7 @@
         types: s.types ?? [],
         zone: s.zone ?? '',
         spot: s.spot,
-        rank: s.rank,
+        rank: u.job.rank,
         within: u.within,
         count: u.count,
         gang,
--- a/packages/core/src/places.ts
+++ b/packages/core/src/places.ts
@@ -81,7 +81,7 @@
     if (!cap) return true;
     const want = this.cx.table.gpuNeed.get(r.machine.type);
     // Where no more are to be had and what needs them outranks this, it does no harm there.
-    if (!want || (want.rank > j.spec.rank && !this.cx.plenty(cap.name))) return true;
+    if (!want || (want.rank > j.rank && !this.cx.plenty(cap.name))) return true;
     let cpus = j.spec.cpus;
     for (const p of r.machine.placements.values()) if (p.phase !== 'exited' && p.job.spec.gpus === 0) cpus += p.job.spec.cpus;
     // Beside what keeps the machine here anyway, it costs nothing; alone it would keep it.
@@ -121,7 +121,7 @@
       return this.keptAnyway(m) ? (j.spec.shape === 'service' ? 1.5 : 0) : 20;
     }
     if (j.spec.shape === 'service' && this.givenToServices(m)) return 2;
-    return j.spec.rank < want.rank ? 8 : 40;
+    return j.rank < want.rank ? 8 : 40;
   }
 
   /** Bears work for accelerators, or is full of services. */
--- a/packages/core/src/planner.ts
+++ b/packages/core/src/planner.ts
@@ -162,7 +162,7 @@
 
   private kindOf(j: Job, within: boolean): string | null {
     const s = j.spec;
-    if (s.rank > 0 || within || s.shape !== 'array' || s.gpus > 0 || s.oneZone || s.spread || j.failedOn.size > 0) return null;
+    if (j.rank > 0 || within || s.shape !== 'array' || s.gpus > 0 || s.oneZone || s.spread || j.failedOn.size > 0) return null;
     return `${j.share}/${j.team}/${j.zone}/${s.spot}/${j.types?.join(',') ?? ''}`;
   }
 
--- a/packages/core/src/preemption.ts
+++ b/packages/core/src/preemption.ts
@@ -29,7 +29,7 @@
     if (p.stop !== null || p.phase === 'exited' || p.job === j) return false;
     const g = guar.get(p.job);
     if (g?.firm && !this.pressing(j, p.machine)) return false;
-    if (p.job.spec.rank < j.spec.rank) return true;
+    if (p.job.rank < j.rank) return true;
     if (!within || p.job.team === j.team || g === undefined || j.spec.gpus === 0) return false;
     return !g.within || p.job.spec.shape === 'array';
   }
@@ -46,7 +46,7 @@
 
   waitedOut(j: Job): boolean {
     return (
-      j.spec.rank === TOP_RANK &&
+      j.rank === TOP_RANK &&
       j.spec.shape === 'service' &&
       j.waitsSince >= 0 &&
       this.work.now - j.waitsSince > this.cx.settings.policy.planWaitS * 1000
@@ -55,7 +55,7 @@
 
   cost(p: Placement, now: Ms): number {
     const ran = p.ranSince >= 0 ? (now - p.ranSince) / 1000 : 0;
-    return p.job.spec.rank * 1000 + (p.phase === 'planned' ? -1 : ran) + (p.job.spec.shape === 'gang' ? 500 : 0);
+    return p.job.rank * 1000 + (p.phase === 'planned' ? -1 : ran) + (p.job.spec.shape === 'gang' ? 500 : 0);
   }
 
   /** The least work to stop on one machine so that a task of the job fits, or null. */
@@ -78,7 +78,7 @@
 
   evictFor(j: Job, within: boolean, rooms: Room[], guar: Guarantees, now: Ms): Room | null {
     // Nothing stands below it.
-    if (j.spec.rank === 0 && (!within || j.spec.gpus === 0)) return null;
+    if (j.rank === 0 && (!within || j.spec.gpus === 0)) return null;
     let best: { r: Room; v: Placement[]; c: number } | null = null;
     for (const r of rooms) {
       const v = this.victimsOn(j, within, r, guar, now);
--- a/packages/core/src/records.ts
+++ b/packages/core/src/records.ts
@@ -1,6 +1,8 @@
 import type { Context } from './context.js';
+import { encodeDoneJob } from './job-record.js';
 import type { Job, Machine, Ms } from './model.js';
-import { KEY, packBits } from './table.js';
+import { type ProgressPart, packBits } from './progress-layout.js';
+import { KEY } from './table.js';
 import type { Work } from './work.js';
 import { URGENCY } from './writer.js';
 
@@ -10,6 +12,12 @@
 /** A job's completed tasks are stored this often at most, and at once when all are. */
 const PROGRESS_MS = 3000;
 
+/** Is a task of this part done that isn't stored as done? */
+function hasUnstored(j: Job, part: ProgressPart): boolean {
+  for (let i = part.from; i < part.to; i++) if (j.done[i] && !j.stored[i]) return true;
+  return false;
+}
+
 /** What must outlive this process: completed tasks, and the images that machines have. */
 export class Records {
   private readonly imagesDue: { m: Machine; at: Ms }[] = [];
@@ -57,7 +65,7 @@
       j.finishQueued = true;
       this.cx.writer.add({
         key: KEY.job(j.spec.id),
-        value: () => ({ s: 1, t: j.wall, n: j.spec.tasks }),
+        value: (at) => encodeDoneJob(j.wall, j.spec.tasks, at + this.cx.table.wallOffset),
         guard: j.stamp,
         also: this.work.also(j.share),
         urgency: URGENCY.grant,
@@ -70,33 +78,30 @@
     }
     // Several completions in one write: until it is stored, the worker keeps the result.
     if (j.progressQueued || !j.progressDirty || this.work.now - j.progressAt < PROGRESS_MS) return;
-    const size = this.cx.table.chunk;
-    for (let k = 0; k * size < j.spec.tasks; k++) {
-      const to = Math.min(j.spec.tasks, (k + 1) * size);
-      let fresh = false;
-      for (let i = k * size; i < to && !fresh; i++) fresh = j.done[i] === 1 && j.stored[i] === 0;
-      if (!fresh) continue;
-      const key = KEY.progress(j.spec.id, k);
-      let snap = new Uint8Array(0);
-      j.progressQueued = true;
-      j.progressAt = this.work.now;
-      this.cx.writer.add({
-        key,
-        value: () => {
-          snap = j.done.slice(k * size, to);
-          return packBits(j.done, k * size, to);
-        },
-        guard: this.cx.replica.get(key)?.stamp ?? 0,
-        also: this.work.also(j.share),
-        urgency: URGENCY.progress,
-        done: (o) => {
-          j.progressQueued = false;
-          if (o === 'ok') for (let i = 0; i < snap.length; i++) if (snap[i]) j.stored[k * size + i] = 1;
-        },
-      });
-      return;
-    }
-    j.progressDirty = false;
+    const part = this.cx.table.progress.parts(j.spec.tasks).find((p) => hasUnstored(j, p));
+    if (part) this.writeProgress(j, part);
+    else j.progressDirty = false;
+  }
+
+  private writeProgress(j: Job, part: ProgressPart): void {
+    const key = KEY.progress(j.spec.id, part.name);
+    let written = new Uint8Array(0);
+    j.progressQueued = true;
+    j.progressAt = this.work.now;
+    this.cx.writer.add({
+      key,
+      value: () => {
+        written = j.done.slice(part.from, part.to);
+        return packBits(j.done, part.from, part.to);
+      },
+      guard: this.cx.replica.get(key)?.stamp ?? 0,
+      also: this.work.also(j.share),
+      urgency: URGENCY.progress,
+      done: (outcome) => {
+        j.progressQueued = false;
+        if (outcome === 'ok') for (let i = 0; i < written.length; i++) if (written[i]) j.stored[part.from + i] = 1;
+      },
+    });
   }
 
   markDone(j: Job, index: number): void {
--- a/packages/core/src/reports.ts
+++ b/packages/core/src/reports.ts
@@ -1,8 +1,9 @@
 import type { PeerHeard, Report, TaskReport } from '@archpost/wire';
 import type { Context } from './context.js';
+import { readJobRecord } from './job-record.js';
 import type { Machine, Ms, Placement } from './model.js';
 import type { Records } from './records.js';
-import { type JobRecord, KEY } from './table.js';
+import { KEY } from './table.js';
 import { taskKey, type Work } from './work.js';
 
 /** A worker numbers its reports, two a second at most, and its answers to questions and commands. */
@@ -37,7 +38,7 @@
       // Which session to ask is all that can be learned from it.
       if (r.session > m.session) m.session = r.session;
       // ... and, for what it is worth, how urgent its answer is.
-      for (const t of r.tasks) m.bearsRank = Math.max(m.bearsRank, this.cx.table.jobs.get(t.job)?.spec.rank ?? -1);
+      for (const t of r.tasks) m.bearsRank = Math.max(m.bearsRank, this.cx.table.jobs.get(t.job)?.rank ?? -1);
       return;
     } else if (older(m)) {
       // A late copy, or a machine that began again: its answer will tell.
@@ -129,12 +130,13 @@
   private adopt(m: Machine, t: TaskReport, now: Ms): Placement | null {
     let job = this.cx.table.jobs.get(t.job);
     if (!job) {
-      const record = this.cx.replica.get(KEY.job(t.job))?.value as JobRecord | undefined;
-      if (!record?.sp) return null;
-      job = this.cx.table.makeJob(record.sp);
-      job.state = record.s === 2 ? 'cancelled' : record.s === 1 ? 'done' : 'live';
+      const record = this.cx.replica.get(KEY.job(t.job));
+      const spec = record && readJobRecord(record.value)?.spec;
+      if (!spec) return null;
+      job = this.cx.table.makeJob(spec);
+      job.state = this.cx.table.finals.get(t.job) ?? 'live';
       if (job.state === 'cancelled') job.cancelledAt = now;
-      job.stamp = this.cx.replica.get(KEY.job(t.job))?.stamp ?? 0;
+      job.stamp = record.stamp;
       this.cx.table.jobs.set(t.job, job);
     }
     if (job.share !== m.share || t.index >= job.spec.tasks) return null;
--- a/packages/core/src/table.ts
+++ b/packages/core/src/table.ts
@@ -1,15 +1,23 @@
 import type { JobSpec, MachineType } from '@archpost/wire';
+import type { FinalState } from './job-record.js';
+import { JobTable } from './job-table.js';
 import { type CoreSettings, Job, Machine, type Ms, Names } from './model.js';
 import { fits } from './placement.js';
+import { ProgressLayout } from './progress-layout.js';
 import type { Entry } from './replica.js';
+import { encodedBytes, type StateSizes, stateSizes } from './state-limits.js';
 
 export const KEY = {
   root: 'a/',
   holding: (share: number | 'lead') => `a/h/${share}`,
   grant: (machine: string) => `a/g/${machine}`,
   job: (id: string) => `a/j/${id}`,
-  progress: (id: string, chunk: number) => `a/p/${id}/${chunk}`,
+  progress: (id: string, part: string) => `a/p/${id}/${part}`,
   types: 'a/types',
+  /** a list of machine types that is too long for one value */
+  typesPart: (index: number) => `a/types/${index}`,
+  /** a part of a job's lists: see job-record.ts */
+  jobPart: (id: string, group: string, index: number) => `a/x/${id}/${group}/${index}`,
   /** a controller that is there: attached to its state lease */
   presence: (node: string) => `a/n/${node}`,
   /** what a controller tells by way of the state service while its link to the lead is down */
@@ -37,11 +45,15 @@
   n?: number;
 }
 
-export interface JobRecord {
-  /** 0 queued or running, 1 done, 2 cancelled */
-  s: 0 | 1 | 2;
-  t: number;
-  sp?: JobSpec;
+/** Most images of a machine that are stored. */
+const MOST_IMAGES = 30;
+
+const TYPES_PARTS = 'a/types/';
+
+/** One part of the machine types, and how many parts there are. */
+export interface MachineTypesPart {
+  count: number;
+  list: MachineType[];
 }
 
 function holderIn(value: unknown): Holder {
@@ -56,21 +68,6 @@
   return g as GrantRecord;
 }
 
-/** Tasks whose completion one progress key holds. The key's text stays within value_kb. */
-export function chunkSize(valueKb: number): number {
-  return Math.max(512, Math.floor(valueKb * 1024 * 0.5) * 4);
-}
-
-export function packBits(bits: Uint8Array, from: number, to: number): string {
-  let out = '';
-  for (let i = from; i < to; i += 4) {
-    let v = 0;
-    for (let b = 0; b < 4; b++) if (i + b < to && bits[i + b]) v |= 1 << b;
-    out += v.toString(16);
-  }
-  return out;
-}
-
 /** Spreads teams over the shares, largest guarantees first, onto the share with the least. */
 export function teamShares(s: CoreSettings): number[] {
   const load = new Array<number>(s.shares).fill(0);
@@ -85,13 +82,19 @@
   return out;
 }
 
+/** What one stored key concerns. */
+export interface Applied {
+  /** the job itself first, then others that are released or cancelled with it */
+  jobs?: Job[];
+  machine?: Machine;
+  moved?: boolean;
+  holding?: string;
+  /** a part of the record that can't be read, though the rest can */
+  unreadable?: string;
+}
+
 /** What the state service's keys say, in the shape that decisions use. */
 export class Table {
-  readonly jobs = new Map<string, Job>();
-  /** jobs that are over, in short */
-  readonly finals = new Map<string, 'done' | 'cancelled'>();
-  /** stamp of the newest cancellation that is known */
-  cancelStamp = 0;
   readonly machines = new Map<string, Machine>();
   readonly holders = new Map<string, { holder: Holder; stamp: number }>();
   /** controllers whose state lease was seen to end, and when */
@@ -103,13 +106,27 @@
   readonly teamShare: number[];
   types: (MachineType | null)[] = [];
   typesKnown = false;
-  readonly chunk: number;
+  readonly progress: ProgressLayout;
+  private readonly jobTable: JobTable;
+  readonly jobs: Map<string, Job>;
+  /** jobs that are over, in short, and those that are cancelled with one that they need */
+  readonly finals: Map<string, FinalState>;
+  readonly sizes: StateSizes;
 
   constructor(readonly settings: CoreSettings) {
     for (const t of settings.teams) this.teamNames.index(t.name);
     for (const z of settings.zones) this.zoneNames.index(z);
     this.teamShare = teamShares(settings);
-    this.chunk = chunkSize(settings.state.valueKb);
+    this.sizes = stateSizes(settings.state);
+    this.progress = new ProgressLayout(settings.state.valueKb, this.sizes.changeBytes);
+    this.jobTable = new JobTable(
+      (spec) => this.makeJob(spec),
+      (name) => this.typeNames.index(name),
+      (job) => this.noteGpuNeed(job.spec),
+      this.progress,
+    );
+    this.jobs = this.jobTable.jobs;
+    this.finals = this.jobTable.finals;
   }
 
   setTypes(list: MachineType[]): void {
@@ -118,6 +135,20 @@
     for (const m of this.machines.values()) m.cap = this.types[m.type] ?? m.cap;
   }
 
+  /** stamp of the newest cancellation that is known */
+  get cancelStamp(): number {
+    return this.jobTable.cancelStamp;
+  }
+
+  /** time of day less the steady clock, ms */
+  get wallOffset(): Ms {
+    return this.jobTable.wallOffset;
+  }
+
+  set wallOffset(ms: Ms) {
+    this.jobTable.wallOffset = ms;
+  }
+
   makeJob(spec: JobSpec): Job {
     const team = this.teamNames.find(spec.team);
     return new Job(
@@ -131,7 +162,7 @@
   }
 
   /** Applies one key. Returns the job or machine that it concerns. */
-  apply(key: string, entry: Entry | null, now: Ms): { job?: Job; machine?: Machine; moved?: boolean; holding?: string } {
+  apply(key: string, entry: Entry | null, now: Ms): Applied {
     const kind = key.slice(2, 4);
     if (kind === 'h/') {
       const name = key.slice(4);
@@ -143,17 +174,30 @@
       if (entry) this.absentSince.delete(key.slice(4));
       else this.absentSince.set(key.slice(4), now);
     }
-    if (kind === 'j/') return this.applyJob(key.slice(4), entry, now);
-    if (kind === 'p/') return this.applyProgress(key.slice(4), entry);
+    if (kind === 'j/') return this.jobTable.applyRecord(key.slice(4), entry, now);
+    if (kind === 'p/') return this.jobTable.applyProgress(key.slice(4), entry);
+    if (kind === 'x/') return this.jobTable.applyPart(key.slice(4), entry, now);
     if (kind === 'g/') return this.applyGrant(key.slice(4), entry, now);
     if (kind === 'c/') {
       if (entry) this.caches.set(key.slice(4), entry.value as [string, number][]);
       else this.caches.delete(key.slice(4));
     }
     if (key === KEY.types && entry) this.setTypes(entry.value as MachineType[]);
+    else if (key.startsWith(TYPES_PARTS) && entry) this.applyTypesPart(key, entry.value);
     return {};
   }
 
+  private readonly typesParts = new Map<string, MachineTypesPart>();
+
+  /** The types are known once all parts of their list are. */
+  private applyTypesPart(key: string, value: unknown): void {
+    const part = value as Partial<MachineTypesPart> | null;
+    if (!Array.isArray(part?.list) || typeof part.count !== 'number') throw new Error('not a part of the machine types');
+    this.typesParts.set(key, part as MachineTypesPart);
+    const parts = [...this.typesParts.values()];
+    if (parts.length >= part.count && !this.typesKnown) this.setTypes(parts.flatMap((p) => p.list));
+  }
+
   /** How soon a machine without accelerators can be there for the job. */
   bootMs(job: Job): Ms {
     let s = Number.POSITIVE_INFINITY;
@@ -185,37 +229,6 @@
     });
   }
 
-  private applyJob(id: string, entry: Entry | null, now: Ms): { job?: Job } {
-    if (!entry) return {};
-    const r = entry.value as JobRecord;
-    let job = this.jobs.get(id);
-    if (r.s === 1) this.finals.set(id, 'done');
-    if (r.s === 2) {
-      this.finals.set(id, 'cancelled');
-      this.cancelStamp = Math.max(this.cancelStamp, entry.stamp);
-    }
-    if (!job) {
-      if (r.s !== 0 && !(r.s === 2 && r.sp)) return {};
-      job = this.makeJob(r.sp as JobSpec);
-      job.arrivedAt = now;
-      job.wall = r.t;
-      this.jobs.set(id, job);
-      this.noteGpuNeed(job.spec);
-      for (let k = 0; k * this.chunk < job.spec.tasks; k++) {
-        const p = this.early.get(`${id}/${k}`);
-        if (p !== undefined) this.mergeProgress(job, k, p);
-        this.early.delete(`${id}/${k}`);
-      }
-    }
-    job.stamp = entry.stamp;
-    if (r.s === 1) job.state = 'done';
-    if (r.s === 2) {
-      job.state = 'cancelled';
-      if (job.cancelledAt < 0) job.cancelledAt = now;
-    }
-    return { job };
-  }
-
   private readonly caches = new Map<string, [string, number][]>();
 
   /** What is stored of the machine's images, oldest use first. */
@@ -224,40 +237,11 @@
     for (const [name, gb] of this.caches.get(m.name) ?? []) m.images.set(this.imageNames.index(name), gb);
   }
 
+  /** The images used last, as many as fit a stored value. */
   imagesOf(m: Machine): [string, number][] {
-    return [...m.images].slice(-30).map(([i, gb]): [string, number] => [this.imageNames.name(i), gb]);
-  }
-
-  /** progress read before its job's record */
-  private readonly early = new Map<string, string>();
-
-  private applyProgress(rest: string, entry: Entry | null): { job?: Job } {
-    if (!entry) return {};
-    const cut = rest.lastIndexOf('/');
-    const id = rest.slice(0, cut);
-    const job = this.jobs.get(id);
-    if (!job) {
-      if (!this.finals.has(id)) this.early.set(rest, entry.value as string);
-      return {};
-    }
-    this.mergeProgress(job, Number(rest.slice(cut + 1)), entry.value as string);
-    return { job };
-  }
-
-  private mergeProgress(job: Job, chunk: number, hex: string): void {
-    const from = chunk * this.chunk;
-    for (let i = 0; i < hex.length; i++) {
-      const v = Number.parseInt(hex[i] as string, 16);
-      for (let b = 0; b < 4; b++) {
-        const t = from + i * 4 + b;
-        if (t >= job.spec.tasks || !(v & (1 << b))) continue;
-        job.stored[t] = 1;
-        if (!job.done[t]) {
-          job.done[t] = 1;
-          job.doneCount++;
-        }
-      }
-    }
+    const images = [...m.images].slice(-MOST_IMAGES).map(([i, gb]): [string, number] => [this.imageNames.name(i), gb]);
+    while (encodedBytes(KEY.cache(m.name), images) > this.sizes.changeBytes) images.shift();
+    return images;
   }
 
   private applyGrant(name: string, entry: Entry | null, now: Ms): { machine?: Machine; moved?: boolean } {
@@ -314,6 +298,6 @@
   }
 
   dropFinal(job: Job): void {
-    if (job.state !== 'live' && job.placements.size === 0) this.jobs.delete(job.spec.id);
+    this.jobTable.drop(job);
   }
 }
--- a/packages/core/src/writer.ts
+++ b/packages/core/src/writer.ts
@@ -2,6 +2,7 @@
 import type { Guard, Write } from '@archpost/wire';
 import type { Effect, Ms } from './model.js';
 import type { Replica } from './replica.js';
+import { encodedBytes, type StateSizes } from './state-limits.js';
 
 /**
  * Which writes go first. Users' answers wait for what they asked for, so neither may stand
@@ -22,6 +23,9 @@
 /** After this long a release counts as a grant. */
 const RELEASE_MS = 300;
 
+/** `dropped`: it was given up, and was not carried out. */
+export type WriteOutcome = 'ok' | 'conflict' | 'dropped';
+
 export interface PendingWrite {
   key: string;
   /** evaluated when sent first; undefined removes the key */
@@ -35,7 +39,7 @@
   urgency: number;
   /** dropped unsent after this time */
   until?: Ms;
-  done: (outcome: 'ok' | 'conflict' | 'dropped', stamp: number) => void;
+  done: (outcome: WriteOutcome, stamp: number) => void;
 }
 
 /** As the state service returns it: without fields that have no value. */
@@ -73,12 +77,13 @@
   private readonly sent = new Map<string, number>();
 
   constructor(
-    private readonly limits: { writesPerS: number; txnOps: number },
+    private readonly limits: { writesPerS: number } & StateSizes,
     private readonly replica: Replica,
     private readonly emit: (e: Effect) => void,
     private readonly lease: () => number | null,
     private readonly afterBarrier: (now: Ms, run: (now: Ms) => void) => void,
     private readonly leaseGone: () => void,
+    private readonly tooLarge: (key: string, bytes: number) => void = () => {},
   ) {
     this.rate = limits.writesPerS;
     this.budget = limits.writesPerS;
@@ -129,6 +134,7 @@
       const keys = new Set<string>();
       const guards = new Map<string, number>();
       let bytes = 0;
+      const oversize: Queued[] = [];
       for (const w of this.queue) {
         const wanted = [{ key: w.key, stamp: w.guard }, ...(w.also ?? [])];
         const fits =
@@ -145,18 +151,25 @@
           rest.push(w);
           continue;
         }
-        if (w.urgency === URGENCY.accept) accepts--;
         // What may have been carried out already is sent again as it was: its own first copy must be known by it.
         if (!w.uncertain) w.sentValue = w.value(now);
-        bytes += w.sentValue === undefined ? 0 : JSON.stringify(w.sentValue).length;
+        const size = encodedBytes(w.key, w.sentValue);
+        if (!w.uncertain && size > this.limits.changeBytes) {
+          oversize.push(w);
+          continue;
+        }
+        if (w.urgency === URGENCY.accept) accepts--;
+        bytes += size;
         keys.add(w.key);
         const kind = w.key.slice(2, 3);
         this.sent.set(kind, (this.sent.get(kind) ?? 0) + 1);
         for (const g of wanted) guards.set(g.key, g.stamp);
         batch.push(w);
       }
-      if (batch.length === 0) return;
       this.queue = rest;
+      for (const w of oversize) this.giveUpTooLarge(w);
+      if (batch.length === 0 && oversize.length > 0) continue;
+      if (batch.length === 0) return;
       this.budget -= batch.length;
       this.wanted(now);
       this.recent += batch.length;
@@ -192,6 +205,8 @@
       | { kind: 'ok'; revision: number }
       | { kind: 'failed'; keys: string[] }
       | { kind: 'refused' }
+      /** there were too many requests or changes */
+      | { kind: 'limited' }
       | { kind: 'noLease' }
       /** it can't be taken as it is: too large, say */
       | { kind: 'invalid' }
@@ -238,10 +253,19 @@
     for (const w of batch) {
       if (batch.length > 1) this.queue.push({ ...w, alone: true });
       else if (w.uncertain) this.afterBarrier(now, () => this.conflict(w));
-      else w.done('dropped', 0);
+      else this.giveUpTooLarge(w);
     }
   }
 
+  private readonly reportedTooLarge = new Set<string>();
+
+  /** The service would refuse it, or has: told once for each key, and not tried again. */
+  private giveUpTooLarge(w: Queued): void {
+    if (!this.reportedTooLarge.has(w.key)) this.tooLarge(w.key, encodedBytes(w.key, w.sentValue));
+    this.reportedTooLarge.add(w.key);
+    w.done('dropped', 0);
+  }
+
   private conflict(w: Queued): void {
     const e = this.replica.get(w.key);
     const same =
--- a/packages/server/src/service.ts
+++ b/packages/server/src/service.ts
@@ -42,7 +42,13 @@
     );
     // Half of the time a cancellation has: rides out outages, leaves time to take over.
     const ttlMs = Math.round(Math.min(600, Math.max(1, c.workers.cancelS / 2)) * 1000);
-    this.store = new StateStore(settings.state, 'a/', (c.state.rps * 0.9) / nodes, ttlMs, 0.002);
+    this.store = new StateStore(
+      settings.state,
+      'a/',
+      (Math.min(c.state.rps, c.state.next?.rps ?? c.state.rps) * 0.9) / nodes,
+      ttlMs,
+      0.002,
+    );
     this.cloud = new Cloud(settings.cloud, c.cloud.rps * Math.max(0.5, 0.9 / nodes));
     // All workers may come to one controller, with a connection each: those for commands, of which
     // the longest unused are closed, must leave room for that, and for users.
@@ -79,7 +85,7 @@
       const now = steady();
       this.shedding.late(now - due);
       due = now + TICK_MS;
-      inbox.decision(() => core.tick(steady()));
+      inbox.decision(() => core.tick(steady(), Date.now()));
     });
     // What each controller refused, and what its processor time and memory go to, is worth seeing at any size.
     interval(10_000).subscribe(() => {
--- a/packages/server/src/settings.ts
+++ b/packages/server/src/settings.ts
@@ -1,5 +1,5 @@
 import { readFileSync } from 'node:fs';
-import type { CoreSettings, Policy } from '@archpost/core';
+import type { CoreSettings, Policy, StateLimits } from '@archpost/core';
 import { STATE_SOCKETS, WATCH_S } from '@archpost/store';
 import { parse } from 'smol-toml';
 import { z } from 'zod';
@@ -11,6 +11,8 @@
 const positive = z.number().positive();
 const amount = z.number().min(0);
 
+const stateLimits = { rps: positive, write_rps: positive, value_kb: positive, txn_ops: z.number().int().min(1) };
+
 const file = z.object({
   host_name: text,
   location: text,
@@ -32,6 +34,7 @@
           after_s: amount.nullish(),
           share: amount.nullish(),
           most: amount.nullish(),
+          times: amount.nullish(),
         }),
       )
       .default([]),
@@ -42,7 +45,7 @@
       gang_peer_s: positive,
       cancel_s: positive,
     }),
-    state: z.object({ rps: positive, write_rps: positive, value_kb: positive, txn_ops: z.number().int().min(1) }),
+    state: z.object({ ...stateLimits, next: z.object(stateLimits).partial().nullish() }),
     cloud: z.object({ rps: positive, list_lag_s: amount }),
     machine_limits: z.object({ cpu_share: positive, mem_mb: positive, max_sockets: positive }),
   }),
@@ -105,6 +108,12 @@
   if (have < need) throw new SettingsError(`${path}: params.${field}: ${have} is too little: ${what} takes ${need}`);
 }
 
+function enoughState(path: string, field: string, limits: z.infer<z.ZodObject<typeof stateLimits>>, nodes: number): void {
+  enough(path, `${field}.write_rps`, limits.write_rps, nodes, 'a change a second for each controller');
+  enough(path, `${field}.rps`, limits.rps, 4 * nodes, 'lease, watch and a transaction a second for each controller');
+  enough(path, `${field}.value_kb`, limits.value_kb, 2, 'the record of a job');
+}
+
 /**
  * Settings under which rules could not be kept, or nothing could be served, are refused here
  * rather than found out by users.
@@ -120,9 +129,9 @@
       `${path}: params.workers.cancel_s: must exceed lease_s + report_s by more than ${WATCH_S} s (${least}), but is ${w.cancel_s}`,
     );
   const { max_sockets, mem_mb } = s.params.machine_limits;
-  enough(path, 'state.write_rps', s.params.state.write_rps, nodes, 'a change a second for each controller');
-  enough(path, 'state.rps', s.params.state.rps, 4 * nodes, 'lease, watch and a transaction a second for each controller');
-  enough(path, 'state.value_kb', s.params.state.value_kb, 2, 'the record of a job');
+  const { next, ...present } = s.params.state;
+  enoughState(path, 'state', present, nodes);
+  if (next) enoughState(path, 'state.next', { ...present, ...next }, nodes);
   enough(path, 'machine_limits.mem_mb', mem_mb, LEAST_MB, 'the process without any work');
   enough(
     path,
@@ -136,6 +145,16 @@
 /** Measured at a start on simulated machines, without work: 66 MB. */
 const LEAST_MB = 80;
 
+/** Only the limits that are announced. */
+function nextLimits(next: Partial<z.infer<z.ZodObject<typeof stateLimits>>>): Partial<StateLimits> {
+  const limits: Partial<StateLimits> = {};
+  if (next.rps !== undefined) limits.rps = next.rps;
+  if (next.write_rps !== undefined) limits.writeRps = next.write_rps;
+  if (next.value_kb !== undefined) limits.valueKb = next.value_kb;
+  if (next.txn_ops !== undefined) limits.txnOps = next.txn_ops;
+  return limits;
+}
+
 export function loadSettings(path: string, operatorPath: string | null): Settings {
   const s = check(path, file, parseToml(path));
   const o = check(operatorPath ?? 'operator settings', operator, operatorPath === null ? {} : parseOperator(operatorPath));
@@ -174,6 +193,7 @@
         afterS: x.after_s ?? null,
         share: x.share ?? null,
         most: x.most ?? null,
+        times: x.times ?? null,
       })),
       workers: {
         reportS: w.report_s,
@@ -189,6 +209,7 @@
         writeRps: s.params.state.write_rps,
         valueKb: s.params.state.value_kb,
         txnOps: s.params.state.txn_ops,
+        next: s.params.state.next ? nextLimits(s.params.state.next) : null,
       },
       cloud: { rps: s.params.cloud.rps, listLagS: s.params.cloud.list_lag_s },
       policy,
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -19,6 +19,8 @@
   | { kind: 'ok'; revision: number }
   | { kind: 'failed'; keys: string[] }
   | { kind: 'refused' }
+  /** more requests or changes than the service takes */
+  | { kind: 'limited' }
   | { kind: 'noLease' }
   | { kind: 'invalid' }
   | { kind: 'unknown' };
@@ -200,6 +202,7 @@
     }
     if (o.status === 409) return { kind: 'failed', keys: parseFailed(body) };
     if (o.status === 400) return { kind: isNoLease(body) ? 'noLease' : 'invalid' };
-    return o.status === 503 || o.status === 429 ? { kind: 'refused' } : { kind: 'unknown' };
+    if (o.status === 429) return { kind: 'limited' };
+    return o.status === 503 ? { kind: 'refused' } : { kind: 'unknown' };
   }
 }
--- a/packages/wire/src/jobs.ts
+++ b/packages/wire/src/jobs.ts
@@ -27,8 +27,10 @@
 const name = z.string().min(1).max(120);
 const amount = z.number().min(0).max(1e9);
 
+export const JOB_ID = /^run-[A-Za-z0-9_.-]{1,64}$/;
+
 const submission = z.object({
-  ref: z.string().regex(/^run-[A-Za-z0-9_.-]{1,64}$/),
+  ref: z.string().regex(JOB_ID),
   jobclass: name,
   crew: name,
   shape: z.enum(['sweep', 'gang', 'standing']),
@@ -48,16 +50,22 @@
   snapshot_s: amount,
   stow_s: amount,
   due_s: amount.nullish(),
+  awaits: z.array(z.string().regex(JOB_ID)).nullish(),
 });
 
-export const JOB_ID = /^run-[A-Za-z0-9_.-]{1,64}$/;
+/** A job as its user wrote it, and the jobs that have to be done before it, each named once. */
+export interface Submission {
+  spec: JobSpec;
+  awaits: string[];
+}
 
-/** A job as its user wrote it, or the name of the first field at fault. */
-export function parseSubmission(body: Record<string, unknown>): { spec: JobSpec } | { field: string } {
+/** A user's submission, or the name of the first field at fault. */
+export function parseSubmission(body: Record<string, unknown>): Submission | { field: string } {
   const r = submission.safeParse(body);
   if (!r.success) return { field: r.error.issues[0]?.path.join('.') || 'body' };
   const b = r.data;
   return {
+    awaits: [...new Set(b.awaits ?? [])],
     spec: {
       id: b.ref,
       cls: b.jobclass,
--- /dev/null
+++ b/test/pipelines.test.ts
@@ -0,0 +1,251 @@
+// Jobs that await others: when they start, how a cancellation reaches them, and what they inherit.
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { parseSubmission } from '@archpost/wire';
+import { Cluster, holderOf, job, kept, type Node, shareOf, smallCluster } from './stand-ins.js';
+
+const submission = (awaits: unknown) => ({
+  ref: 'run-last',
+  jobclass: 'batch',
+  crew: 'red',
+  shape: 'sweep',
+  rank: 'standard',
+  pieces: 1,
+  cores: 1,
+  accelerators: 0,
+  memory_gb: 1,
+  bundle: 'img',
+  size_gb: 1,
+  one_zone: false,
+  spread: false,
+  loaners: false,
+  guess_s: 5,
+  snapshot_s: 0,
+  stow_s: 0,
+  awaits,
+});
+
+/** Submits at one controller and says how that was answered. */
+function told(c: Cluster, id: string, awaits: string[], node = c.nodes[0] as Node): number {
+  const spec = job(id);
+  c.specs.set(id, spec);
+  c.awaits.set(id, awaits);
+  let status = 0;
+  node.submit(spec, (code) => {
+    status = code;
+  });
+  c.until(`${id} answered`, () => status !== 0, 6);
+  return status;
+}
+
+function chain(c: Cluster, ids: string[], over: Parameters<typeof job>[1] = {}): void {
+  ids.forEach((id, i) => {
+    c.submit(job(id, { estimateS: 3, ...over }), c.nodes[i % c.nodes.length], i === 0 ? [] : [ids[i - 1] as string]);
+  });
+}
+
+test('awaits: a list of job ids, each taken once; absent, null and empty are alike; what is wrong is named', () => {
+  for (const none of [undefined, null, []]) {
+    const parsed = parseSubmission(submission(none));
+    assert.ok('spec' in parsed);
+    assert.deepEqual(parsed.awaits, []);
+  }
+  const parsed = parseSubmission(submission(['run-a', 'run-b', 'run-a']));
+  assert.ok('spec' in parsed);
+  assert.deepEqual(parsed.awaits, ['run-a', 'run-b']);
+  assert.deepEqual(parseSubmission(submission('run-a')), { field: 'awaits' });
+  assert.deepEqual(parseSubmission(submission(['run-a', 'walk-b'])), { field: 'awaits.1' });
+  assert.deepEqual(parseSubmission(submission([7])), { field: 'awaits.0' });
+});
+
+// too_early: a start before the end of the job awaited is stored. The cluster checks it at each start.
+test('a chain runs in its order, over a takeover of each share', () => {
+  const c = smallCluster(6);
+  chain(c, ['run-1', 'run-2', 'run-3'], { tasks: 3 });
+  c.until('the first is done', () => c.allDone('run-1'), 40);
+  const owner = holderOf(c, shareOf(c, 'run-2'));
+  c.node(owner).crash();
+  c.until('the last is done', () => c.allDone('run-3'), 120);
+  c.node(owner).restart();
+  c.run(15);
+  for (const id of ['run-1', 'run-2', 'run-3']) for (const n of c.nodes) assert.equal(c.ask(id, n), 'done');
+  kept(c, 'chain-over-a-takeover');
+});
+
+test('a job that names itself or one never accepted is refused, after a reading newer than the request', () => {
+  const c = smallCluster(4);
+  assert.equal(told(c, 'run-self', ['run-self']), 422);
+  assert.equal(told(c, 'run-x', ['run-never']), 422);
+  // Accepted elsewhere a moment ago, and not read here yet: the reading is waited for.
+  const [first, second] = c.nodes as [Node, Node];
+  first.lagging = true;
+  c.submit(job('run-new'), second);
+  let status = 0;
+  c.specs.set('run-y', job('run-y'));
+  c.awaits.set('run-y', ['run-new']);
+  first.submit(job('run-y'), (code) => {
+    status = code;
+  });
+  c.run(0.5);
+  assert.equal(status, 0, 'not decided by what is known here');
+  first.lagging = false;
+  c.run(0.5);
+  assert.equal(status, 201);
+  // Without a reading nothing is refused: the user is to ask again.
+  first.lagging = true;
+  assert.equal(told(c, 'run-z', ['run-unread'], first), 503);
+});
+
+test('a cancellation reaches all that need the job, at every controller, by one change', () => {
+  const c = smallCluster(6);
+  chain(
+    c,
+    Array.from({ length: 40 }, (_, i) => `run-${i}`),
+    { estimateS: 300 },
+  );
+  c.run(2);
+  const before = c.changes.get('j') ?? 0;
+  c.cancel('run-0');
+  c.run(1);
+  assert.equal((c.changes.get('j') ?? 0) - before, 1);
+  for (const n of c.nodes) for (const id of ['run-1', 'run-20', 'run-39']) assert.equal(c.ask(id, n), 'aborted');
+  // A controller that begins again derives the same, and nothing goes back.
+  c.node('n1').crash();
+  c.node('n1').restart();
+  c.run(20);
+  assert.equal(c.ask('run-39', c.node('n1')), 'aborted');
+  c.cancel('run-39', c.node('n1'));
+  assert.equal(c.on('run-39').length, 0);
+});
+
+test('a job submitted after the cancellation of one that it needs is accepted, and cancelled', () => {
+  const c = smallCluster(4);
+  c.submit(job('run-a'));
+  c.cancel('run-a');
+  assert.equal(told(c, 'run-b', ['run-a'], c.nodes[2]), 201);
+  c.run(1);
+  assert.equal(c.ask('run-b'), 'aborted');
+});
+
+// A cancellation that meets the end of the last task: one record decides, and everything follows it.
+test('a cancellation answered with done lets the jobs after it go on; one that comes first stops them', () => {
+  const c = smallCluster(6);
+  c.submit(job('run-a', { estimateS: 2 }));
+  c.submit(job('run-b', { estimateS: 2 }), c.nodes[1], ['run-a']);
+  c.until('done', () => c.allDone('run-a'), 40);
+  c.until('stored', () => c.ask('run-a') === 'done', 10);
+  c.cancel('run-a');
+  c.until('the next runs', () => c.allDone('run-b'), 40);
+  c.run(2);
+  assert.equal(c.ask('run-b'), 'done');
+});
+
+test('a diamond: the last job starts after both sides, and is cancelled with either', () => {
+  const c = smallCluster(8);
+  const diamond = (p: string) => {
+    c.submit(job(`run-${p}0`, { estimateS: 2 }));
+    c.submit(job(`run-${p}1`, { team: 'blue', estimateS: 3 }), c.nodes[1], [`run-${p}0`]);
+    c.submit(job(`run-${p}2`, { team: 'green', estimateS: 9 }), c.nodes[2], [`run-${p}0`]);
+    c.submit(job(`run-${p}3`, { estimateS: 2 }), c.nodes[0], [`run-${p}1`, `run-${p}2`]);
+  };
+  diamond('a');
+  c.until('the last is done', () => c.allDone('run-a3'), 60);
+  diamond('b');
+  c.until('one side is done', () => c.allDone('run-b1'), 40);
+  c.run(2);
+  c.cancel('run-b2');
+  c.run(2);
+  assert.equal(c.ask('run-b3'), 'aborted');
+  assert.equal(c.ask('run-b1'), 'done');
+});
+
+test('a job takes the highest priority and the earliest latest start of those that need it, and gives them back', () => {
+  const c = smallCluster(4);
+  c.submit(job('run-long', { rank: 0, estimateS: 500, tasks: 9 }));
+  c.submit(job('run-1', { rank: 0, estimateS: 100 }), c.nodes[0], ['run-long']);
+  c.submit(job('run-2', { rank: 1, estimateS: 50, team: 'blue' }), c.nodes[1], ['run-1']);
+  c.submit(job('run-3', { rank: 2, estimateS: 10, deadlineS: 400 }), c.nodes[2], ['run-2', 'run-1']);
+  const submitted = c.now;
+  c.run(1);
+  for (const n of c.nodes) {
+    const first = n.core.table.jobs.get('run-1');
+    assert.equal(first?.rank, 2);
+    // 400 s, less 10 and 1 of the last and 50 and 1 of the one before, each with its image.
+    assert.ok(Math.abs((first?.endBy ?? 0) - (submitted + 338_000)) < 500, `${(first?.endBy ?? 0) - submitted}`);
+  }
+  c.cancel('run-3');
+  c.run(1);
+  for (const n of c.nodes) {
+    assert.equal(n.core.table.jobs.get('run-1')?.rank, 1);
+    assert.equal(n.core.table.jobs.get('run-1')?.endBy, Number.POSITIVE_INFINITY);
+  }
+});
+
+test('a waiting job takes no part of a guarantee, asks for no machine and is started when its time comes', () => {
+  const c = new Cluster();
+  for (let i = 0; i < 2; i++) c.machine(`g${i}`, 'big', 'east');
+  c.settle();
+  c.submit(job('run-first', { estimateS: 20 }));
+  // Eight accelerators are guaranteed to the team: were this job counted, the next would be beyond them.
+  c.submit(job('run-waits', { gpus: 8, shape: 'gang' }), c.nodes[0], ['run-first']);
+  c.submit(job('run-now', { gpus: 8, shape: 'gang', estimateS: 300 }));
+  c.run(3);
+  const owner = c.node(holderOf(c, shareOf(c, 'run-now')));
+  const wanted = owner.core.owner.share(shareOf(c, 'run-now'), c.now).demands;
+  assert.deepEqual(wanted, []);
+  assert.equal(c.running('run-now'), 1);
+  assert.equal(c.ask('run-waits'), 'queued');
+  c.until('started', () => c.running('run-waits') === 1, 60);
+});
+
+test('a stored list of awaited jobs that can not be read keeps that one job waiting, and harms nothing else', () => {
+  const c = smallCluster(4);
+  const guards = { t: 'txn' as const, id: 0, guards: [] };
+  const sp = (id: string) => {
+    c.specs.set(id, job(id));
+    return job(id);
+  };
+  const records: [string, unknown][] = [
+    ['a/j/run-odd', { s: 3, t: 0, sp: sp('run-odd'), aw: 'run-a' }],
+    ['a/j/run-odder', { s: 3, t: 0, sp: sp('run-odder'), aw: [], x: { k: 5 } }],
+    // Of a cycle, which no user can make.
+    ['a/j/run-p', { s: 3, t: 0, sp: sp('run-p'), aw: ['run-q'] }],
+    ['a/j/run-q', { s: 3, t: 0, sp: { ...sp('run-q'), rank: 2, deadlineS: 9 }, aw: ['run-p'] }],
+    // Of a version that knows more.
+    ['a/j/run-new', { s: 0, t: 0, sp: { ...sp('run-new'), colour: 'red' }, future: true }],
+  ];
+  for (const [put, value] of records) c.state.txn({ ...guards, writes: [{ put, value }] }, c.now);
+  c.until('others run', () => c.allDone('run-new'), 40);
+  for (const id of ['run-odd', 'run-odder', 'run-p', 'run-q']) assert.equal(c.ask(id), 'queued');
+  c.cancel('run-q');
+  c.cancel('run-odd');
+  c.run(1);
+  for (const id of ['run-odd', 'run-p', 'run-q']) assert.equal(c.ask(id), 'aborted');
+});
+
+// Each end and each submission may cost in proportion to its edges, not to all jobs: the time is not bounded
+// here, but a cost that grew with their product would not end.
+test('a job awaited by thousands, and a chain of hundreds, are released one after another', () => {
+  const c = smallCluster(4);
+  const first = c.nodes[0] as Node;
+  c.submit(job('run-root', { estimateS: 60 }));
+  const guards = { t: 'txn' as const, id: 0, guards: [] };
+  const writes = Array.from({ length: 3000 }, (_, i) => {
+    const id = `run-w${i}`;
+    c.specs.set(id, job(id, { rank: i === 2999 ? 2 : 0 }));
+    return { put: `a/j/${id}`, value: { s: 3, t: 0, sp: c.specs.get(id), aw: ['run-root'] } };
+  });
+  const links = Array.from({ length: 500 }, (_, i) => {
+    const id = `run-c${i}`;
+    c.specs.set(id, job(id));
+    return { put: `a/j/${id}`, value: { s: 3, t: 0, sp: c.specs.get(id), aw: [i === 0 ? 'run-w0' : `run-c${i - 1}`] } };
+  });
+  c.state.txn({ ...guards, writes: [...links, ...writes] }, c.now);
+  c.run(1);
+  assert.equal(first.core.table.jobs.get('run-root')?.rank, 2);
+  assert.equal(first.core.table.jobs.get('run-c499')?.waits, true);
+  c.cancel('run-root');
+  c.run(1);
+  assert.equal(c.ask('run-c499'), 'aborted');
+  assert.equal(first.core.table.jobs.size, 0);
+});
