--- a/test/stand-ins.ts
+++ b/test/stand-ins.ts
@@ -549,6 +549,7 @@
 
   /** A message as the other controller reads it: by way of its bytes where the two run different versions. */
   private sent(to: Node, message: PeerMessage): PeerMessage {
+    this.cluster.peerBytes?.(this.running.encodePeer(message));
     if (to.running === this.running) return structuredClone(message);
     return to.running.decodePeer(this.running.encodePeer(message));
   }
@@ -678,6 +679,8 @@
   garbled: (node: string, machine: string) => boolean = () => false;
   /** true if the machine reaches no controller, though direct commands reach it */
   mute: (machine: string) => boolean = () => false;
+  /** sees every message between controllers as it leaves */
+  peerBytes: ((bytes: Uint8Array) => void) | null = null;
   /** sees every report as it leaves, to deliver copies late */
   reported: ((r: Report) => void) | null = null;
   /** how long the answer to a transaction takes, once it is carried out */
