--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -1,4 +1,4 @@
-import type { Change, Command, Listed, MachineType, PeerHeard, PeerStatus, Report, Row, TaskReport } from '@archpost/wire';
+import type { Change, Command, Listed, MachineType, PeerStatus, Report, Row } from '@archpost/wire';
 import { goHome, isStatus, reportAnswer } from '@archpost/wire';
 import type { Context, Peer } from './context.js';
 import { Desk } from './desk.js';
@@ -8,51 +8,20 @@
 import { Owner } from './owner.js';
 import type { Rentals } from './rentals.js';
 import { Replica } from './replica.js';
+import { ReportForwarding } from './report-forwarding.js';
 import { ChangeRate, encodedBytes } from './state-limits.js';
-import { fitStatus } from './stored-status.js';
+import { StatusExchange } from './status-exchange.js';
 import { type Applied, KEY, Table } from './table.js';
 import { Vouching } from './vouching.js';
+import { WorkerRouting } from './worker-routing.js';
 import { URGENCY, Writer } from './writer.js';
 
 /** How long a peer's silence is borne before its link counts as down. */
 const PEER_SILENT_MS = 3500;
 
-/** A controller that answers so many workers is known to be reached by them. */
-const HEARS_WORKERS = 3;
-
-/** How often a worker is sent to one that isn't, to try. */
-const TRY_MS = 250;
-
 /** After a pause decisions wait for news for so long; in an outage none come. */
 const SETTLE_MS = 3000;
 
-/** Each so many statuses tell of all jobs that run; a peer that missed a change has it within seconds. */
-const RUNNING_ALL_EACH = 5;
-
-type Running = ReturnType<Owner['running']>;
-
-/** What a keeper knows of a machine that reports to it. */
-interface Heard {
-  report: Report;
-  at: Ms;
-  /** who was last told of it whole; null: nobody */
-  to: string | null;
-  whole: number;
-  wholeAt: Ms;
-}
-
-function sameReport(a: Report, b: Report): boolean {
-  if (a.session !== b.session || a.token !== b.token || a.addr !== b.addr || a.noticeS !== null || b.noticeS !== null)
-    return false;
-  if (a.tasks.length !== b.tasks.length) return false;
-  for (let i = 0; i < a.tasks.length; i++) {
-    const x = a.tasks[i] as TaskReport;
-    const y = b.tasks[i] as TaskReport;
-    if (x.index !== y.index || x.attempt !== y.attempt || x.state !== y.state || x.job !== y.job) return false;
-  }
-  return true;
-}
-
 /** The watch and the lease's renewals bring an answer more often than this. */
 const STORE_SILENT_MS = 4000;
 
@@ -74,12 +43,13 @@
   readonly holdings: Holdings;
   private readonly vouching: Vouching;
   private readonly changeRate: ChangeRate;
+  private readonly forwarding: ReportForwarding;
+  private readonly routing: WorkerRouting;
+  private readonly statuses: StatusExchange;
   private effects: Effect[] = [];
   private ids = 1;
   now: Ms = 0;
   private waiters: { from: Ms; run: (now: Ms) => void; until: Ms; late: (() => void) | undefined }[] = [];
-  private readonly heard = new Map<string, Heard>();
-  private lastStatus: Ms = -1e12;
   private typesAskedAt: Ms = -1e12;
 
   constructor(
@@ -107,6 +77,16 @@
       settings.nodes.map((n) => n.name).filter((n) => n !== settings.node),
       boot,
     );
+    this.forwarding = new ReportForwarding(this);
+    this.routing = new WorkerRouting(this);
+    this.statuses = new StatusExchange(this, {
+      owner: this.owner,
+      lead: this.lead,
+      forwarding: this.forwarding,
+      routing: this.routing,
+      vouching: this.vouching,
+      mayAnswerWorkers: (now) => this.mayAnswerWorkers(now),
+    });
   }
 
   // ---- context
@@ -306,7 +286,7 @@
 
   report(id: number, r: Report, now: Ms): void {
     this.now = now;
-    if (!this.mayKeep(now)) {
+    if (!this.mayAnswerWorkers(now)) {
       this.toWorker(id, 503, { error: 'not entitled' });
       return;
     }
@@ -324,17 +304,15 @@
       this.toWorker(id, 503, { error: 'not entitled' });
       return;
     }
-    // Workers stay with a controller of their own zone: a cut between zones then costs
-    // them nothing, where finding another controller could take longer than their lease.
-    const near = this.nearNode(r.zone, holder, now);
-    if (near !== this.settings.node && this.mayLeave(r, now) && this.maySend(r.machine, near, now)) {
-      this.toWorker(id, 421, goHome(near));
+    const elsewhere = this.routing.sendTo(r, holder, now);
+    if (elsewhere !== null) {
+      this.toWorker(id, 421, goHome(elsewhere));
       return;
     }
-    this.served.set(r.machine, now);
+    this.routing.answered(r.machine, now);
     if (this.owner.work.holds(m.share, now)) this.owner.reports.observe(m, r, now);
-    // A keeper: the work must not die because its owner did, or can't be reached from here.
-    else this.hear(r, holder, now);
+    // The work must not die because its owner did, or can't be reached from here.
+    else this.forwarding.hear(r, holder, now);
     this.toWorker(id, 200, reportAnswer(this.table.token(m), this.cancelledOf(r)));
     this.after(now);
   }
@@ -363,104 +341,13 @@
    * ends by its worker's lease in time. Without a lease no command of ours goes out
    * meanwhile, and nobody counts a worker's lease as over.
    */
-  private mayKeep(now: Ms): boolean {
+  private mayAnswerWorkers(now: Ms): boolean {
     if (!this.replica.loaded) return false;
     const { cancelS, leaseS, reportS } = this.settings.workers;
     const sure = Math.max(this.freshAt, this.vouching.since(now));
     return now - sure < (cancelS - leaseS - reportS) * 1000;
   }
 
-  /** A late copy must not make a silent machine seem alive: only what is newer counts. */
-  private hear(r: Report, holder: string | null, now: Ms): void {
-    const old = this.heard.get(r.machine);
-    if (old && (r.session < old.report.session || (r.session === old.report.session && r.seq <= old.report.seq))) return;
-    const h: Heard = { report: r, at: now, to: old?.to ?? null, whole: old?.whole ?? -1, wholeAt: old?.wholeAt ?? -1e12 };
-    this.heard.set(r.machine, h);
-    if (holder === null || holder === this.settings.node || !this.peerAlive(holder, now)) {
-      h.to = null;
-      return;
-    }
-    // What changes is passed on at once, whole; that nothing did goes with the status.
-    if (old && h.to === holder && sameReport(old.report, r) && now - h.wholeAt < 5 * this.settings.workers.reportS * 1000) return;
-    h.to = holder;
-    h.whole = r.seq;
-    h.wholeAt = now;
-    this.emit({ t: 'relay', to: holder, report: r });
-  }
-
-  /** The machines heard here lately, by who holds them. */
-  private heardLately(now: Ms): Map<string, PeerHeard[]> {
-    const out = new Map<string, PeerHeard[]>();
-    for (const [machine, h] of this.heard) {
-      if (now - h.at < 4000) {
-        const m = this.table.machines.get(machine);
-        const holder = m && this.table.holder(m.share)?.holder.node;
-        if (!holder) continue;
-        const list = out.get(holder) ?? [];
-        if (list.length === 0) out.set(holder, list);
-        list.push({ machine, session: h.report.session, seq: h.report.seq, whole: h.to === holder ? h.whole : h.report.seq });
-      }
-      // Kept for as long as late copies of it may come.
-      else if (now - h.at > 10 * this.settings.workers.leaseS * 1000) this.heard.delete(machine);
-    }
-    return out;
-  }
-
-  /**
-   * A worker that is sent away and comes back got no answer there, and its lease runs: it is
-   * sent once, then answered here. Nor are more than a few sent, to try, to a controller that
-   * hears no workers: one that had lost them all was still thought well, and 115 leases ran
-   * out on the way to it and back.
-   */
-  private maySend(machine: string, to: string, now: Ms): boolean {
-    const sent = this.sentAway.get(machine);
-    if (sent?.to === to && now - sent.at < 4 * this.settings.workers.leaseS * 1000) return false;
-    const hears = this.peers.get(to)?.status.hears ?? 0;
-    if (hears < HEARS_WORKERS) {
-      if (now - this.triedAt < TRY_MS) return false;
-      this.triedAt = now;
-    }
-    this.sentAway.set(machine, { to, at: now });
-    return true;
-  }
-
-  /**
-   * A worker that bears work and comes from elsewhere got no answer there, and part of its lease
-   * is gone: it is answered here first and sent with its next report, so that trying the other
-   * controller once more costs it no lease.
-   */
-  private mayLeave(r: Report, now: Ms): boolean {
-    return r.tasks.length === 0 || now - (this.served.get(r.machine) ?? -1e12) < 2000 * this.settings.workers.reportS;
-  }
-
-  /** Workers answered here lately. */
-  private hears(now: Ms): number {
-    for (const [machine, at] of this.served) if (now - at > 2 * this.settings.workers.reportS * 1000) this.served.delete(machine);
-    for (const [machine, { at }] of this.sentAway)
-      if (now - at > 4 * this.settings.workers.leaseS * 1000) this.sentAway.delete(machine);
-    return this.served.size;
-  }
-
-  private readonly served = new Map<string, Ms>();
-  private readonly sentAway = new Map<string, { to: string; at: Ms }>();
-  private triedAt: Ms = -1e12;
-
-  /** The controller that a worker of this zone should report to, as far as is seen from here. */
-  private nearNode(zone: string, holder: string | null, now: Ms): string {
-    const me = this.settings.node;
-    // One that the state service refuses answers no worker, so none must be sent to it.
-    const alive = (n: string) => {
-      const s = this.peers.get(n)?.status;
-      return n === me || (this.peerAlive(n, now) && s?.entitled === true && s.reach);
-    };
-    const zoneOf = (n: string) => this.settings.nodes.find((x) => x.name === n)?.zone;
-    if (holder !== null && zoneOf(holder) === zone && alive(holder)) return holder;
-    if (this.settings.zone === zone) return me;
-    const near = this.settings.nodes.find((n) => n.zone === zone && alive(n.name));
-    if (near) return near.name;
-    return holder !== null && alive(holder) ? holder : me;
-  }
-
   /** A report that a keeper passed on. */
   relayed(r: Report, now: Ms): void {
     this.now = now;
@@ -553,113 +440,9 @@
     this.peers.set(status.node, { status, running: this.peers.get(status.node)?.running ?? new Map(), at: this.now, up: false });
   }
 
-  /**
-   * A zone that is cut off still reaches the state service: without this, the lead would
-   * neither grant its new machines nor rent for its waiting work until the cut ends.
-   */
-  private tellByState(now: Ms): void {
-    const lead = this.table.holder('lead')?.holder.node ?? null;
-    if (lead === null || lead === this.settings.node || this.peerAlive(lead, now)) return;
-    if (!this.replica.loaded || !this.leaseValid(now) || this.telling || now - this.toldAt < 2000) return;
-    this.toldAt = now;
-    this.telling = true;
-    const key = KEY.status(this.settings.node);
-    const full: PeerStatus = { ...this.status(now), heard: this.heardLately(now).get(lead) ?? [] };
-    const status = fitStatus(key, full, this.table.sizes.changeBytes);
-    this.writer.add({
-      key,
-      value: () => status,
-      guard: this.replica.get(key)?.stamp ?? 0,
-      urgency: URGENCY.progress,
-      until: now + 2000,
-      done: () => {
-        this.telling = false;
-      },
-    });
-  }
-
   /** answers to workers since the last look, by status */
   private readonly told = new Map<number, number>();
   private lastFigures: Ms = 0;
-  /**
-   * The limit on changes goes to those who have something to write: a part to each in any
-   * case, the rest by what each says it wants. What a controller that isn't heard uses is
-   * not known: an equal share is left to it.
-   */
-  private shareWrites(now: Ms): void {
-    const n = Math.max(1, this.settings.nodes.length);
-    const all = this.changeRate.perSecond(now) * 0.95;
-    const floor = (0.3 * all) / n;
-    const mine = this.writer.wanted(now);
-    let free = all - floor;
-    let wanted = mine;
-    for (const node of this.settings.nodes) {
-      if (node.name === this.settings.node) continue;
-      const heard = this.peerAlive(node.name, now);
-      free -= heard ? floor : all / n;
-      if (heard) wanted += this.peers.get(node.name)?.status.writes ?? 0;
-    }
-    this.writer.allow(Math.max(1, floor + (wanted > 0 ? (free * mine) / wanted : free / n)));
-  }
-
-  /** To each other controller what concerns it: the lead alone decides over machines. */
-  private tell(now: Ms): void {
-    const full = this.status(now);
-    const all = this.owner.running();
-    full.runningAll = this.tells++ % RUNNING_ALL_EACH === 0;
-    full.running = full.runningAll ? [...all].map(([job, r]) => ({ job, ...r })) : this.runningChanged(all);
-    this.runningTold = all;
-    const heard = this.heardLately(now);
-    const lead = this.table.holder('lead')?.holder.node ?? null;
-    for (const { name } of this.settings.nodes) {
-      if (name === this.settings.node) continue;
-      const own: PeerStatus = { ...full, heard: heard.get(name) ?? [], ...this.vouching.toTell(name, now) };
-      if (lead !== null && name !== lead) {
-        own.shares = [];
-        own.strangers = [];
-      }
-      this.emit({ t: 'status', to: name, status: own });
-    }
-  }
-
-  /** With a swarm of small jobs all of them, each time, to everybody, would cost more than all else told. */
-  private runningChanged(all: Running): PeerStatus['running'] {
-    const out: PeerStatus['running'] = [];
-    for (const [job, r] of all) {
-      const old = this.runningTold.get(job);
-      if (old?.count !== r.count || old.done !== r.done || old.failed !== r.failed) out.push({ job, ...r });
-    }
-    for (const job of this.runningTold.keys()) if (!all.has(job)) out.push({ job, count: 0, done: 0, failed: 0 });
-    return out;
-  }
-
-  private runningTold: Running = new Map();
-  private tells = 0;
-  private telling = false;
-  private toldAt: Ms = -1e12;
-
-  private status(now: Ms): PeerStatus {
-    return {
-      node: this.settings.node,
-      shares: [...this.owner.held.keys()].map((s) => this.owner.share(s, now)),
-      running: [],
-      runningAll: false,
-      strangers: this.lead.strangersNow(now),
-      heard: [],
-      plenty: this.lead.leading ? this.lead.rentals.plenty() : [],
-      lead: this.lead.leading,
-      entitled: this.mayKeep(now),
-      reach: this.owner.fleet.reach,
-      writes: Math.round(this.writer.wanted(now)),
-      storeOk: this.storeOk(now),
-      hears: this.hears(now),
-      loaded: this.replica.loaded,
-      cancelStamp: this.table.cancelStamp,
-      ping: '',
-      echo: '',
-    };
-  }
-
   // ---- time
 
   /**
@@ -677,8 +460,8 @@
     this.pausedAt = now;
     if (this.storeAt > 0) this.storeAt += ms;
     for (const p of this.peers.values()) p.at += ms;
-    for (const h of this.heard.values()) h.at += ms;
-    for (const [machine, at] of this.served) this.served.set(machine, at + ms);
+    this.forwarding.paused(ms);
+    this.routing.paused(ms);
     for (const [node, at] of this.table.absentSince) this.table.absentSince.set(node, at + ms);
     this.holdings.paused(ms);
     this.owner.paused(ms, now);
@@ -720,12 +503,8 @@
       });
       this.told.clear();
     }
-    this.shareWrites(now);
-    if (now - this.lastStatus > 700) {
-      this.lastStatus = now;
-      this.tell(now);
-    }
-    this.tellByState(now);
+    this.writer.allow(this.statuses.shareOfChanges(this.changeRate.perSecond(now), now));
+    this.statuses.tick(now);
     this.after(now);
   }
 
--- /dev/null
+++ b/packages/core/src/status-exchange.ts
@@ -0,0 +1,168 @@
+/**
+ * What controllers tell one another of themselves: each other one what concerns it, and the leader by way of the
+ * state service while the link to it is down. The limit on changes to the state service is shared out by the same
+ * statuses.
+ */
+import type { PeerStatus } from '@archpost/wire';
+import type { Context } from './context.js';
+import type { Lead } from './lead.js';
+import type { Ms } from './model.js';
+import type { Owner } from './owner.js';
+import type { ReportForwarding } from './report-forwarding.js';
+import { fitStatus } from './stored-status.js';
+import { KEY } from './table.js';
+import type { Vouching } from './vouching.js';
+import type { WorkerRouting } from './worker-routing.js';
+import { URGENCY } from './writer.js';
+
+const STATUS_INTERVAL_MS = 700;
+
+/** Each so many statuses tell of all jobs that run; a peer that missed a change has it within seconds. */
+const RUNNING_ALL_EACH = 5;
+
+/** How often the leader is told by way of the state service: it is slower, and costs changes. */
+const STORED_STATUS_INTERVAL_MS = 2000;
+
+/** Part of the limit on changes that is used at all, and of that the part left to each in any case. */
+const USED_SHARE = 0.95;
+const LEAST_SHARE = 0.3;
+
+const NEVER: Ms = -1e12;
+
+type Running = ReturnType<Owner['running']>;
+
+/** What of this controller goes into a status. */
+export interface StatusSources {
+  owner: Owner;
+  lead: Lead;
+  forwarding: ReportForwarding;
+  routing: WorkerRouting;
+  vouching: Vouching;
+  /** may workers' reports be answered here? */
+  mayAnswerWorkers(now: Ms): boolean;
+}
+
+export class StatusExchange {
+  private sentAt: Ms = NEVER;
+  private sent = 0;
+  private runningSent: Running = new Map();
+  private storing = false;
+  private storedAt: Ms = NEVER;
+
+  constructor(
+    private readonly cx: Context,
+    private readonly sources: StatusSources,
+  ) {}
+
+  tick(now: Ms): void {
+    if (now - this.sentAt > STATUS_INTERVAL_MS) {
+      this.sentAt = now;
+      this.sendToAll(now);
+    }
+    this.storeForLeader(now);
+  }
+
+  /** What this controller may use of the changes that all may make in a second. */
+  shareOfChanges(perSecond: number, now: Ms): number {
+    const { cx } = this;
+    const count = Math.max(1, cx.settings.nodes.length);
+    const all = perSecond * USED_SHARE;
+    const floor = (LEAST_SHARE * all) / count;
+    const own = cx.writer.wanted(now);
+    let free = all - floor;
+    let wanted = own;
+    for (const node of cx.settings.nodes) {
+      if (node.name === cx.settings.node) continue;
+      // What a controller that isn't heard uses is not known: an equal share is left to it.
+      const heard = cx.peerAlive(node.name, now);
+      free -= heard ? floor : all / count;
+      if (heard) wanted += cx.peers.get(node.name)?.status.writes ?? 0;
+    }
+    return Math.max(1, floor + (wanted > 0 ? (free * own) / wanted : free / count));
+  }
+
+  private get leader(): string | null {
+    return this.cx.table.holder('lead')?.holder.node ?? null;
+  }
+
+  /** To each other controller what concerns it: the leader alone decides over machines. */
+  private sendToAll(now: Ms): void {
+    const { vouching, forwarding, owner } = this.sources;
+    const status = this.status(now);
+    const running = owner.running();
+    status.runningAll = this.sent++ % RUNNING_ALL_EACH === 0;
+    status.running = status.runningAll ? [...running].map(([job, r]) => ({ job, ...r })) : this.runningChanged(running);
+    this.runningSent = running;
+    const heard = forwarding.lately(now);
+    const { leader } = this;
+    for (const { name } of this.cx.settings.nodes) {
+      if (name === this.cx.settings.node) continue;
+      const own: PeerStatus = { ...status, heard: heard.get(name) ?? [], ...vouching.toTell(name, now) };
+      if (leader !== null && name !== leader) {
+        own.shares = [];
+        own.strangers = [];
+      }
+      this.cx.emit({ t: 'status', to: name, status: own });
+    }
+  }
+
+  /** With a swarm of small jobs all of them, each time, to everybody, would cost more than all else told. */
+  private runningChanged(all: Running): PeerStatus['running'] {
+    const changed: PeerStatus['running'] = [];
+    for (const [job, r] of all) {
+      const old = this.runningSent.get(job);
+      if (old?.count !== r.count || old.done !== r.done || old.failed !== r.failed) changed.push({ job, ...r });
+    }
+    for (const job of this.runningSent.keys()) if (!all.has(job)) changed.push({ job, count: 0, done: 0, failed: 0 });
+    return changed;
+  }
+
+  private status(now: Ms): PeerStatus {
+    const { cx } = this;
+    const { owner, lead, routing } = this.sources;
+    return {
+      node: cx.settings.node,
+      shares: [...owner.held.keys()].map((share) => owner.share(share, now)),
+      running: [],
+      runningAll: false,
+      strangers: lead.strangersNow(now),
+      heard: [],
+      plenty: lead.leading ? lead.rentals.plenty() : [],
+      lead: lead.leading,
+      entitled: this.sources.mayAnswerWorkers(now),
+      reach: owner.fleet.reach,
+      writes: Math.round(cx.writer.wanted(now)),
+      storeOk: cx.storeOk(now),
+      hears: routing.count(now),
+      loaded: cx.replica.loaded,
+      cancelStamp: cx.table.cancelStamp,
+      ping: '',
+      echo: '',
+    };
+  }
+
+  /**
+   * A zone that is cut off still reaches the state service: without this, the leader would neither grant its new
+   * machines nor rent for its waiting work until the cut ends.
+   */
+  private storeForLeader(now: Ms): void {
+    const { cx, leader } = this;
+    if (leader === null || leader === cx.settings.node || cx.peerAlive(leader, now)) return;
+    if (!cx.replica.loaded || !cx.leaseValid(now) || this.storing || now - this.storedAt < STORED_STATUS_INTERVAL_MS) return;
+    this.storedAt = now;
+    this.storing = true;
+    const key = KEY.status(cx.settings.node);
+    const whole: PeerStatus = { ...this.status(now), heard: this.sources.forwarding.lately(now).get(leader) ?? [] };
+    const status = fitStatus(key, whole, cx.table.sizes.changeBytes);
+    cx.writer.add({
+      key,
+      value: () => status,
+      guard: cx.replica.get(key)?.stamp ?? 0,
+      urgency: URGENCY.progress,
+      until: now + STORED_STATUS_INTERVAL_MS,
+      done: () => {
+        this.storing = false;
+      },
+    });
+  }
+}
