--- a/packages/core/src/records.ts
+++ b/packages/core/src/records.ts
@@ -69,9 +69,10 @@
         guard: j.stamp,
         also: this.work.also(j.share),
         urgency: URGENCY.grant,
-        done: () => {
+        done: (outcome) => {
           j.finishQueued = false;
           this.work.wantPlan = true;
+          if (outcome === 'ok') this.logDone(j);
         },
       });
       return;
@@ -83,6 +84,21 @@
     else j.progressDirty = false;
   }
 
+  private logDone(j: Job): void {
+    const seconds = (ms: Ms) => Math.round(ms / 100) / 10;
+    const now = this.cx.now;
+    this.cx.log('debug', 'job done', {
+      job: j.spec.id,
+      cls: j.spec.cls,
+      sinceReady: seconds(now - j.arrivedAt),
+      sinceSubmit: seconds(now + this.cx.table.wallOffset - j.wall),
+      // Against its own deadline, or the one that it has from the jobs that need it.
+      spare: Number.isFinite(j.endBy) ? seconds(j.endBy - this.cx.table.wallOffset - now) : null,
+      guess: j.spec.estimateS,
+      longestRun: seconds(j.ranS * 1000),
+    });
+  }
+
   private writeProgress(j: Job, part: ProgressPart): void {
     const key = KEY.progress(j.spec.id, part.name);
     let written = new Uint8Array(0);
