--- a/test/pipelines.test.ts
+++ b/test/pipelines.test.ts
@@ -3,6 +3,7 @@
 import { test } from 'node:test';
 import { parseSubmission } from '@archpost/wire';
 import { Cluster, holderOf, job, kept, type Node, shareOf, smallCluster } from './stand-ins.js';
+import { Walk } from './walk.js';
 
 const submission = (awaits: unknown) => ({
   ref: 'run-last',
@@ -249,3 +250,14 @@
   assert.equal(c.ask('run-c499'), 'aborted');
   assert.equal(first.core.table.jobs.size, 0);
 });
+
+/** For long by hand: WALKS=500 npm test. */
+test('seeded random walks with chains of jobs: none starts too early, none is left of what was cancelled', () => {
+  for (let seed = 1; seed <= Number(process.env.WALKS ?? 8); seed++) {
+    try {
+      new Walk(seed, { pipelines: true }).run(120);
+    } catch (e) {
+      assert.fail(`seed ${seed}: ${e instanceof Error ? e.message : e}`);
+    }
+  }
+});
--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -7,6 +7,7 @@
 import { decodePeer, encodePeer, type Row } from '@archpost/wire';
 import { Cluster, holderOf, job, kept, type Node, settings, shareOf, type Version } from './stand-ins.js';
 import * as production from './upgrade/production-core.mjs';
+import { Walk } from './walk.js';
 
 const OLD: Version = production;
 
@@ -290,3 +291,14 @@
     assert.equal(c.running('run-a-service'), 2);
   });
 }
+
+/** For long by hand: WALKS=500 npm test. */
+test('seeded random walks over a roll, chains of jobs after it and limits that fall break no rule', () => {
+  for (let seed = 1; seed <= Number(process.env.WALKS ?? 8); seed++) {
+    try {
+      new Walk(seed, { from: OLD, pipelines: true, next: { valueKb: 2, txnOps: 4, writeRps: 45 } }).run(120);
+    } catch (e) {
+      assert.fail(`seed ${seed}: ${e instanceof Error ? e.message : e}`);
+    }
+  }
+});
--- a/test/walk.ts
+++ b/test/walk.ts
@@ -1,6 +1,6 @@
 // A seeded random walk: users go on submitting, asking and calling off while troubles meet in pairs, and
 // every rule of PROTOCOL that can be seen from workers and users is checked after each step.
-import { Cluster, job, type Node } from './stand-ins.js';
+import { Cluster, job, type Node, type Version } from './stand-ins.js';
 
 /** Numbers that look random and are the same for the same seed. */
 function numbers(seed: number): () => number {
@@ -50,6 +50,22 @@
 ] as const;
 export type Trouble = (typeof TROUBLES)[number];
 
+/** What a walk has beside troubles. */
+export interface WalkOptions {
+  /** troubles that may come */
+  only?: readonly Trouble[];
+  /** jobs that await others */
+  pipelines?: boolean;
+  /** the version that all controllers run at first; one after another they get the present one */
+  from?: Version;
+  /** limits that the state service has once all controllers are new */
+  next?: { valueKb: number; txnOps: number; writeRps: number };
+}
+
+/** From here on, and with so much time between them, controllers get the present version. */
+const UPGRADE_AT_MS = 15_000;
+const UPGRADE_EACH_MS = 12_000;
+
 /** One walk: its cluster, its users and what they were told. */
 export class Walk {
   readonly c: Cluster;
@@ -61,12 +77,20 @@
   private copies: 'none' | 'late' | 'for the next leader' = 'none';
   private readonly kept: (() => void)[] = [];
 
+  private readonly only: readonly Trouble[];
+
   constructor(
     seed: number,
-    private readonly only: readonly Trouble[] = TROUBLES,
+    private readonly options: WalkOptions = {},
   ) {
+    this.only = options.only ?? TROUBLES;
     this.random = numbers(seed);
-    this.c = new Cluster(undefined, (s) => ({ ...s, policy: { ...s.policy, hold: false, idleS: 60, maxMachines: 18 } }));
+    this.c = new Cluster(undefined, (s) => ({
+      ...s,
+      state: { ...s.state, next: options.next ?? null },
+      policy: { ...s.policy, hold: false, idleS: 60, maxMachines: 18 },
+    }));
+    if (options.from) this.startWith(options.from);
     for (let i = 0; i < 8; i++) this.c.machine(`m${i}`, 'small', i % 2 === 0 ? 'east' : 'west');
     for (let i = 0; i < 3; i++) this.c.machine(`g${i}`, 'big', i % 2 === 0 ? 'east' : 'west');
     this.c.bootMs = () => 1000 + 5000 * this.random();
@@ -82,6 +106,24 @@
     };
   }
 
+  private startWith(old: Version): void {
+    this.c.nodes.forEach((n, i) => {
+      const present = n.version;
+      n.version = old;
+      n.restart();
+      this.c.at(UPGRADE_AT_MS + i * UPGRADE_EACH_MS, () => {
+        n.version = present;
+        if (n.up) n.crash();
+        n.restart();
+      });
+    });
+  }
+
+  /** Nothing new is asked, and no limit falls, before all controllers have the present version. */
+  private get upgraded(): boolean {
+    return !this.options.from || this.c.nodes.every((n) => n.running !== this.options.from);
+  }
+
   private int(n: number): number {
     return Math.floor(this.random() * n);
   }
@@ -108,9 +150,11 @@
     t.answeredAt = this.c.now;
     if (before.accepted && (status === 404 || status === 400 || status === 422))
       this.broken(`forgotten: ${id} answered ${status}`);
+    // No user of a walk submits what can't run, nor names what was never accepted.
+    if (status === 422) this.broken(`forgotten: ${id} refused`);
     if (status !== 200 && status !== 201) return;
     if (before.final && said !== before.final) this.broken(`went_back: ${id} was ${before.final}, is called ${said}`);
-    if (said === 'aborted' && !t.cancelAsked) this.broken(`went_back: ${id} called cancelled, its user didn't`);
+    if (said === 'aborted' && !this.mayBeCancelled(id)) this.broken(`went_back: ${id} called cancelled, its user didn't`);
     if (said === 'done') {
       const spec = this.c.specs.get(id);
       const all = spec ? Array.from({ length: spec.tasks }, (_, i) => this.c.finished.has(`${id}/${i}`)) : [];
@@ -121,6 +165,29 @@
     if (said === 'aborted' && !this.c.cancelledAt.has(id)) this.c.cancelledAt.set(id, this.c.now);
   }
 
+  /** Its user asked to cancel it, or one that it needs. */
+  private mayBeCancelled(id: string): boolean {
+    return this.told.get(id)?.cancelAsked === true || this.awaited(id).some((other) => this.mayBeCancelled(other));
+  }
+
+  /** A job that it needs was told to be cancelled. */
+  private needsCancelled(id: string): boolean {
+    return this.awaited(id).some((other) => this.told.get(other)?.final === 'aborted' || this.needsCancelled(other));
+  }
+
+  private awaited(id: string): string[] {
+    return this.c.awaits.get(id) ?? [];
+  }
+
+  /** Half of the jobs need a few of those that were accepted lately, in whatever state these are. */
+  private chooseAwaited(id: string): void {
+    if (!this.options.pipelines || !this.upgraded || this.random() < 0.5) return;
+    const known = [...this.told].filter(([other, t]) => t.accepted && this.c.specs.get(other)?.shape !== 'service').slice(-8);
+    if (known.length === 0) return;
+    const names = Array.from({ length: 1 + this.int(3) }, () => this.pick(known)[0]);
+    this.c.awaits.set(id, [...new Set(names)]);
+  }
+
   private asks(kind: 'submit' | 'poll' | 'cancel', id: string, n = this.node()): void {
     const spec = this.c.specs.get(id);
     const t = this.told.get(id);
@@ -161,6 +228,7 @@
         id,
         job(id, { ...common, shape: 'gang', tasks: 2 + this.int(2), cpus: 2, estimateS: 8, oneZone: this.random() < 0.5 }),
       );
+    this.chooseAwaited(id);
     this.told.set(id, { accepted: false, final: null, cancelAsked: false, answeredAt: this.c.now });
     this.asks('submit', id);
   }
@@ -322,9 +390,15 @@
       if (holders !== this.holders) for (const send of this.kept.splice(0)) send();
       this.holders = holders;
     }
+    if (this.options.next && this.upgraded && !this.c.state.limits && this.c.now > this.limitsAt) {
+      const { valueKb, txnOps, writeRps } = this.options.next;
+      this.c.note('the state service lowers its limits');
+      this.c.state.limits = { valueBytes: valueKb * 1024, txnOps, writesPerS: writeRps };
+    }
     this.c.run(0.1);
   }
 
+  private readonly limitsAt = UPGRADE_AT_MS + 4 * UPGRADE_EACH_MS;
   private holders = '';
 
   /** Troubles by twos and threes for so long, then peace. */
@@ -392,13 +466,14 @@
     const rest = () =>
       [...this.told].filter(([id, t]) => {
         const spec = c.specs.get(id);
-        if (!t.accepted || t.final !== null || !spec) return false;
+        if (!t.accepted || t.final !== null || !spec || this.needsCancelled(id)) return false;
         return !Array.from({ length: spec.tasks }, (_, i) => c.finished.has(`${id}/${i}`)).some((x) => x);
       });
     for (let i = 0; i < 30 && rest().length > 0; i++) c.run(10);
     const left = rest().map(([id]) => `${id} ${JSON.stringify(c.specs.get(id))}`);
     if (left.length > 0) this.broken(`still waiting long after the troubles:\n${left.join('\n')}`);
     this.atRest();
+    if (c.state.tooLarge > 0) this.broken(`${c.state.tooLarge} changes were too large`);
     for (const [id, t] of this.told) {
       if (!t.accepted) continue;
       for (const n of c.nodes) {
@@ -406,6 +481,7 @@
         this.asks('poll', id, n);
         for (let i = 0; i < 30 && t.answeredAt < 0; i++) c.run(0.1);
         if (t.answeredAt < 0) this.broken(`forgotten: ${id} is not answered by ${n.name}`);
+        if (this.needsCancelled(id) && t.final !== 'aborted') this.broken(`orphaned: ${id} goes on at ${n.name}`);
       }
     }
   }
