--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -241,8 +241,25 @@
   const before = Array.from({ length: 200 }, (_, i) => `run-${String(i).padStart(20, '0')}`);
   for (const id of before) c.submit(job(id, { estimateS: 1, cpus: 0.1, memory: 0.1 }));
   const types = Array.from({ length: 64 }, (_, i) => `none-${i}-${'x'.repeat(60)}`);
-  c.submit(job('run-long', { types: [...types.slice(1), 'small'], estimateS: 5 }), c.nodes[1], before);
-  assert.ok([...c.state.keys.keys()].some((key) => key.startsWith('a/x/run-long/')));
+  const spec = job('run-long', { types: [...types.slice(1), 'small'], estimateS: 5 });
+  // An acceptance that fails after its parts were stored costs no second copy of them.
+  c.loseTxn = (e) => e.writes.some((w) => 'put' in w && w.put === 'a/j/run-long');
+  c.specs.set(spec.id, spec);
+  c.awaits.set(spec.id, before);
+  let status = 0;
+  (c.nodes[0] as Node).submit(spec, (code) => {
+    status = code;
+  });
+  c.until('answered', () => status !== 0, 6);
+  assert.equal(status, 503);
+  const parts = () => [...c.state.keys.keys()].filter((key) => key.startsWith('a/x/run-long/')).length;
+  const stored = parts();
+  assert.ok(stored > 0);
+  c.loseTxn = null;
+  const written = c.changes.get('x');
+  c.submit(spec, c.nodes[1], before);
+  assert.equal(parts(), stored);
+  assert.equal(c.changes.get('x'), written);
   c.node(holderOf(c, shareOf(c, 'run-long'))).crash();
   c.until('it runs', () => c.allDone('run-long'), 120);
   assert.equal(c.state.tooLarge, 0);
--- a/test/pipelines.test.ts
+++ b/test/pipelines.test.ts
@@ -218,6 +218,39 @@
   c.until('started', () => c.running('run-waits') === 1, 60);
 });
 
+test('work goes by the inherited priority and the inherited latest start', () => {
+  const c = new Cluster(['n0']);
+  c.machine('m0', 'small', 'east');
+  c.settle();
+  const whole = { cpus: 4, memory: 16 };
+  c.submit(job('run-busy', { ...whole, rank: 1, estimateS: 500 }));
+  c.until('running', () => c.running('run-busy') === 1, 10);
+  // Both are of the lowest rank by themselves, and both are needed by urgent work; the later one sooner.
+  for (const [name, deadlineS] of [
+    ['relaxed', 300],
+    ['pressed', 100],
+  ] as const) {
+    c.submit(job(`run-${name}`, { ...whole, rank: 0, estimateS: 8 }));
+    c.submit(job(`run-${name}-last`, { ...whole, rank: 2, deadlineS }), undefined, [`run-${name}`]);
+  }
+  c.until('all is done', () => c.allDone('run-relaxed-last') && c.allDone('run-pressed-last'), 60);
+  const started = (id: string) => c.trace.findIndex((line) => line.includes(`starts ${id}/`));
+  assert.ok(started('run-pressed') < started('run-relaxed-last'));
+  assert.ok(!c.allDone('run-busy'), 'standard work gave way to what urgent work needs');
+});
+
+test('a waiting job of the highest rank keeps no share from going home, and no machine for its kind', () => {
+  const c = smallCluster(4);
+  c.machine('g0', 'big', 'east');
+  c.settle();
+  c.submit(job('run-first', { estimateS: 300 }));
+  c.submit(job('run-serve', { shape: 'service', rank: 3, gpus: 8, cls: 'serve' }), undefined, ['run-first']);
+  c.run(2);
+  const share = shareOf(c, 'run-serve');
+  assert.ok(c.node(holderOf(c, share)).core.settled(share));
+  for (const n of c.nodes) assert.equal(n.core.table.gpuNeed.size, 0);
+});
+
 // Counted, it would put the team beyond its guarantee, and what comes after it could not preempt.
 test('a waiting job takes nothing of its team s guarantee from work that can run', () => {
   const c = new Cluster(['n0']);
