--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -2,7 +2,7 @@
 import { goHome, isStatus, reportAnswer } from '@archpost/wire';
 import type { Context, Peer } from './context.js';
 import { Holdings } from './holdings.js';
-import { Lead } from './lead.js';
+import { Leader } from './leader.js';
 import type { CoreSettings, Effect, Level, Ms } from './model.js';
 import { Owner } from './owner.js';
 import type { Rentals } from './rentals.js';
@@ -39,7 +39,7 @@
   private storeAt: Ms = -1e12;
   readonly userRequests: UserRequests;
   readonly owner: Owner;
-  readonly lead: Lead;
+  readonly leader: Leader;
   readonly holdings: Holdings;
   private readonly vouching: Vouching;
   private readonly changeRate: ChangeRate;
@@ -71,7 +71,7 @@
     );
     this.userRequests = new UserRequests(this);
     this.owner = new Owner(this);
-    this.lead = new Lead(this, this.owner);
+    this.leader = new Leader(this, this.owner);
     this.holdings = new Holdings(this);
     this.vouching = new Vouching(
       settings.nodes.map((n) => n.name).filter((n) => n !== settings.node),
@@ -81,7 +81,7 @@
     this.routing = new WorkerRouting(this);
     this.statuses = new StatusExchange(this, {
       owner: this.owner,
-      lead: this.lead,
+      leader: this.leader,
       forwarding: this.forwarding,
       routing: this.routing,
       vouching: this.vouching,
@@ -125,12 +125,12 @@
   }
 
   gained(holding: string, stamp: number): void {
-    if (holding === 'lead') this.lead.gained(stamp, this.now);
+    if (holding === 'lead') this.leader.gained(stamp, this.now);
     else this.owner.gained(Number(holding), stamp, this.now);
   }
 
   lost(holding: string): void {
-    if (holding === 'lead') this.lead.lost();
+    if (holding === 'lead') this.leader.lost();
     else this.owner.lost(Number(holding));
   }
 
@@ -151,7 +151,7 @@
   }
 
   plenty(type: string): boolean {
-    if (this.lead.leading) return this.lead.rentals.plenty().includes(type);
+    if (this.leader.leading) return this.leader.rentals.plenty().includes(type);
     for (const p of this.peers.values()) if (p.status.lead) return p.status.plenty.includes(type);
     return false;
   }
@@ -166,8 +166,8 @@
     if (c.holding !== undefined) this.holdings.changed(c.holding);
     if (c.machine) {
       if (c.machine.share < 0) {
-        this.lead.machineGone(c.machine.name, this.now);
-        this.lead.rentals.placeFree(c.machine, this.now);
+        this.leader.machineGone(c.machine.name, this.now);
+        this.leader.rentals.placeFree(c.machine, this.now);
       }
       this.owner.machineChanged(c.machine, c.moved === true, this.now);
     }
@@ -292,7 +292,7 @@
     }
     const m = this.table.machines.get(r.machine);
     if (!m) {
-      this.lead.stranger({ machine: r.machine, addr: r.addr, type: r.type, zone: r.zone, spot: r.spot }, now);
+      this.leader.stranger({ machine: r.machine, addr: r.addr, type: r.type, zone: r.zone, spot: r.spot }, now);
       this.toWorker(id, 421, goHome(null));
       this.after(now);
       return;
@@ -397,18 +397,18 @@
 
   listed(machines: Listed[] | null, now: Ms): void {
     this.now = now;
-    this.lead.rentals.list(machines, this.lead.leading, now);
+    this.leader.rentals.list(machines, this.leader.leading, now);
   }
 
   rented(id: number, r: Parameters<Rentals['rented']>[1], now: Ms): void {
     this.now = now;
-    this.lead.rentals.rented(id, r, now);
+    this.leader.rentals.rented(id, r, now);
     this.after(now);
   }
 
   returned(id: number, ok: boolean, now: Ms): void {
     this.now = now;
-    if (!this.lead.rentals.returned(id, ok, now)) this.owner.fleet.returned(id, ok, now);
+    if (!this.leader.rentals.returned(id, ok, now)) this.owner.fleet.returned(id, ok, now);
     this.after(now);
   }
 
@@ -486,8 +486,8 @@
     this.userRequests.tick(now);
     this.holdings.tick(now);
     this.owner.tick(now);
-    this.lead.tick(now);
-    const wantTypes = !this.table.typesKnown || this.lead.leading;
+    this.leader.tick(now);
+    const wantTypes = !this.table.typesKnown || this.leader.leading;
     if (wantTypes && now - this.typesAskedAt > (this.table.typesKnown ? 60_000 : 1500)) {
       this.typesAskedAt = now;
       this.emit({ t: 'types' });
--- a/packages/core/src/lead.ts
+++ b/packages/core/src/leader.ts
@@ -1,11 +1,11 @@
 import type { MachineType, PeerDemand, PeerMachine, PeerShare } from '@archpost/wire';
 import type { Context } from './context.js';
+import { type Kind, suits, typeOf } from './demand.js';
 import { type Machine, type Ms, type Need, SCARCE_AFTER_S, TOP_RANK } from './model.js';
 import type { Owner } from './owner.js';
 import { copies } from './placement.js';
 import { Rentals } from './rentals.js';
 import { KEY } from './table.js';
-import { type Kind, suits, typeOf } from './wants.js';
 import { URGENCY } from './writer.js';
 
 export interface Stranger extends Kind {
@@ -33,7 +33,7 @@
 const PRESSING_PLAN_WAITS = 1.5;
 
 /** The elected lead: grants machines to shares, moves them, and lets go what is idle. */
-export class Lead {
+export class Leader {
   private since: Ms = -1;
   private stamp = 0;
   private lastRound: Ms = -1e12;
--- a/packages/core/src/rentals.ts
+++ b/packages/core/src/rentals.ts
@@ -1,9 +1,9 @@
 import type { Listed, MachineType, PeerDemand, PeerShare } from '@archpost/wire';
 import { Boots } from './boots.js';
 import type { Context } from './context.js';
+import { type Kind, kindKey, suits, typeOf } from './demand.js';
 import { type Machine, type Ms, TOP_RANK } from './model.js';
 import { copies } from './placement.js';
-import { type Kind, kindKey, suits, typeOf } from './wants.js';
 
 /** Machines of one kind that are to be rented. */
 interface Purchase extends Kind {
--- a/packages/core/src/status-exchange.ts
+++ b/packages/core/src/status-exchange.ts
@@ -5,7 +5,7 @@
  */
 import type { PeerStatus } from '@archpost/wire';
 import type { Context } from './context.js';
-import type { Lead } from './lead.js';
+import type { Leader } from './leader.js';
 import type { Ms } from './model.js';
 import type { Owner } from './owner.js';
 import type { ReportForwarding } from './report-forwarding.js';
@@ -34,7 +34,7 @@
 /** What of this controller goes into a status. */
 export interface StatusSources {
   owner: Owner;
-  lead: Lead;
+  leader: Leader;
   forwarding: ReportForwarding;
   routing: WorkerRouting;
   vouching: Vouching;
@@ -119,16 +119,16 @@
 
   private status(now: Ms): PeerStatus {
     const { context } = this;
-    const { owner, lead, routing } = this.sources;
+    const { owner, leader, routing } = this.sources;
     return {
       node: context.settings.node,
       shares: [...owner.held.keys()].map((share) => owner.share(share, now)),
       running: [],
       runningAll: false,
-      strangers: lead.strangersNow(now),
+      strangers: leader.strangersNow(now),
       heard: [],
-      plenty: lead.leading ? lead.rentals.plenty() : [],
-      lead: lead.leading,
+      plenty: leader.leading ? leader.rentals.plenty() : [],
+      lead: leader.leading,
       entitled: this.sources.mayAnswerWorkers(now),
       reach: owner.fleet.reach,
       writes: Math.round(context.writer.wanted(now)),
