--- a/test/pipelines.test.ts
+++ b/test/pipelines.test.ts
@@ -239,6 +239,24 @@
   assert.ok(!c.allDone('run-busy'), 'standard work gave way to what urgent work needs');
 });
 
+test('of two jobs that urgent work needs, the one whose dependent is due first comes first', () => {
+  const c = new Cluster(['n0']);
+  c.machine('m0', 'small', 'east');
+  c.settle();
+  const whole = { cpus: 4, memory: 16, estimateS: 8 };
+  c.submit(job('run-busy', { ...whole, rank: 2 }));
+  c.until('running', () => c.running('run-busy') === 1, 10);
+  for (const [name, deadlineS] of [
+    ['relaxed', 300],
+    ['pressed', 100],
+  ] as const) {
+    c.submit(job(`run-${name}`, { ...whole, rank: 0 }));
+    c.submit(job(`run-${name}-last`, { ...whole, rank: 2, deadlineS }), undefined, [`run-${name}`]);
+  }
+  c.until('one of them starts', () => c.on('run-relaxed').length + c.on('run-pressed').length > 0, 30);
+  assert.equal(c.on('run-pressed').length, 1);
+});
+
 test('a waiting job of the highest rank keeps no share from going home, and no machine for its kind', () => {
   const c = smallCluster(4);
   c.machine('g0', 'big', 'east');
