--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -67,7 +67,7 @@
       () => this.lease.permit,
       (now, run) => this.afterBarrier(now, run),
       () => this.leaseLost(),
-      (key, bytes) => this.log('warn', 'a change is too large for the state service', { key, bytes }),
+      (key, bytes) => this.log('warn', 'a change can not be stored', { key, bytes }),
     );
     this.userRequests = new UserRequests(this);
     this.owner = new Owner(this);
