--- a/packages/core/src/job-record.ts
+++ b/packages/core/src/job-record.ts
@@ -71,7 +71,13 @@
   x: z.unknown().optional(),
 });
 
-const partsReference = z.object({ k: z.string(), n: z.number().int().min(1) }).nullish();
+const awaitedIds = z.array(z.string());
+const partsReference = z.object({ k: z.string(), n: z.number().int().min(1) });
+
+// Most records have no lists, and thousands are read at a start.
+const NO_AWAITS = { success: true, data: [] as string[] } as const;
+const NO_PARTS = { success: true, data: null } as const;
+
 const part = z.object({ aw: z.array(z.string()).nullish(), ty: z.array(z.string()).nullish() });
 
 const STATES = { [ACCEPTED]: 'live', [DONE]: 'done', [CANCELLED]: 'cancelled', [ACCEPTED_WITH_AWAITS]: 'live' } as const;
@@ -82,8 +88,8 @@
   if (!r.success) throw new Error('not a job record');
   const { s, t, sp, n, e, aw, x } = r.data;
   if (STATES[s] === 'live' && !sp) throw new Error('not a job record');
-  const awaits = z.array(z.string()).safeParse(aw ?? []);
-  const reference = partsReference.safeParse(x);
+  const awaits = aw === undefined ? NO_AWAITS : awaitedIds.safeParse(aw);
+  const reference = x === undefined ? NO_PARTS : partsReference.safeParse(x);
   return {
     state: STATES[s],
     submittedAt: t ?? 0,
