--- a/test/pipelines.test.ts
+++ b/test/pipelines.test.ts
@@ -141,6 +141,45 @@
   assert.equal(c.ask('run-b'), 'done');
 });
 
+test('a cancellation meets the end of the last task at any moment: all that follows agrees with its answer', () => {
+  const answers = new Set<string>();
+  for (let offset = 0; offset <= 2000; offset += 100) {
+    const c = smallCluster(4);
+    c.submit(job('run-a', { estimateS: 2 }));
+    c.submit(job('run-b', { estimateS: 1, team: 'blue' }), c.nodes[1], ['run-a']);
+    c.submit(job('run-c', { estimateS: 1, team: 'green' }), c.nodes[2], ['run-b']);
+    c.until('running', () => c.running('run-a') === 1, 10);
+    c.run(1.2 + offset / 1000);
+    let answer = '';
+    c.nodes[2]?.cancel('run-a', (_status, body) => {
+      answer = String(body.status);
+    });
+    c.until('answered', () => answer !== '', 6);
+    answers.add(answer);
+    c.run(12);
+    for (const n of c.nodes) for (const id of ['run-a', 'run-b', 'run-c']) assert.equal(c.ask(id, n), answer);
+    assert.equal(c.allDone('run-c'), answer === 'done');
+  }
+  assert.deepEqual([...answers].sort(), ['aborted', 'done']);
+});
+
+// Nobody can read the cancellation meanwhile; nobody may start, or call queued, what it stops.
+test('a cancellation just before an outage longer than a cancellation may take reaches all jobs after it', () => {
+  const c = smallCluster(4);
+  c.submit(job('run-a', { estimateS: 2 }));
+  c.submit(job('run-b', { estimateS: 1, team: 'blue' }), undefined, ['run-a']);
+  const [first, second] = c.nodes as [Node, Node];
+  second.lagging = true;
+  c.cancel('run-a', first);
+  c.stateDown = true;
+  c.run(50);
+  assert.equal(c.on('run-b').length, 0);
+  c.stateDown = false;
+  second.lagging = false;
+  c.run(3);
+  for (const n of c.nodes) assert.equal(c.ask('run-b', n), 'aborted');
+});
+
 test('a diamond: the last job starts after both sides, and is cancelled with either', () => {
   const c = smallCluster(8);
   const diamond = (p: string) => {
