--- a/packages/core/src/cancellations.ts
+++ b/packages/core/src/cancellations.ts
@@ -4,7 +4,7 @@
 import { encodeCancelledJob } from './job-record.js';
 import type { Ms } from './model.js';
 import type { Entry } from './replica.js';
-import { KEY } from './table.js';
+import { KEY } from './state-keys.js';
 import { NO_SUCH_JOB, REQUEST_MS, STATE_UNANSWERED, type UserAnswers } from './user-answers.js';
 import { URGENCY } from './writer.js';
 
--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -1,6 +1,7 @@
 import type { Context } from './context.js';
+import { encodeGrant } from './grant-record.js';
 import type { Machine, Ms } from './model.js';
-import { KEY } from './table.js';
+import { KEY } from './state-keys.js';
 import type { Work } from './work.js';
 import { URGENCY } from './writer.js';
 
@@ -288,7 +289,7 @@
     const to = m.moveTo;
     this.context.writer.add({
       key: KEY.grant(m.name),
-      value: () => ({ ...this.context.table.grantOf(m), s: to }),
+      value: () => encodeGrant({ ...this.context.table.grantOf(m), share: to }),
       guard: m.grantStamp,
       also: this.work.also(m.share),
       urgency: URGENCY.grant,
@@ -307,15 +308,12 @@
     if (m.grantQueued) return;
     m.raisingToken = true;
     m.grantQueued = true;
-    const n = m.grantStamp;
+    const rewriteOf = m.grantStamp;
     this.context.writer.add({
       key: KEY.grant(m.name),
       value: () => {
-        const g = this.context.table.grantOf(m);
-        if (m.moveTo >= 0) g.mv = m.moveTo;
-        if (m.retire) g.x = true;
-        g.n = n;
-        return g;
+        const moveTo = m.moveTo >= 0 ? m.moveTo : null;
+        return encodeGrant({ ...this.context.table.grantOf(m), moveTo, retire: m.retire }, rewriteOf);
       },
       guard: m.grantStamp,
       also: this.work.also(m.share),
--- a/packages/core/src/holdings.ts
+++ b/packages/core/src/holdings.ts
@@ -1,6 +1,6 @@
 import type { Context } from './context.js';
 import type { Ms } from './model.js';
-import { KEY } from './table.js';
+import { KEY } from './state-keys.js';
 import { URGENCY } from './writer.js';
 
 /** A share goes home when it has been at rest for this long. */
--- a/packages/core/src/job-status.ts
+++ b/packages/core/src/job-status.ts
@@ -3,7 +3,7 @@
 import type { Context } from './context.js';
 import { readJobRecord } from './job-record.js';
 import type { Job } from './model.js';
-import { KEY } from './table.js';
+import { KEY } from './state-keys.js';
 
 export type JobStatus = 'queued' | 'running' | 'done' | 'cancelled';
 
--- a/packages/core/src/leader.ts
+++ b/packages/core/src/leader.ts
@@ -1,11 +1,12 @@
 import type { MachineType, PeerDemand, PeerMachine, PeerShare } from '@archpost/wire';
 import type { Context } from './context.js';
 import { type Kind, suits, typeOf } from './demand.js';
+import { encodeGrant } from './grant-record.js';
 import { type Machine, type Ms, type Need, SCARCE_AFTER_S, TOP_RANK } from './model.js';
 import type { Owner } from './owner.js';
 import { copies } from './placement.js';
 import { Rentals } from './rentals.js';
-import { KEY } from './table.js';
+import { KEY } from './state-keys.js';
 import { URGENCY } from './writer.js';
 
 export interface Stranger extends Kind {
@@ -137,9 +138,10 @@
       this.rentals.up(s.machine, s, now);
       const share = this.shareInNeed(s, wants) ?? this.shareFor(s.type);
       this.pendingGrants.set(s.machine, { share, type: s.type, zone: s.zone, spot: s.spot, at: now });
+      const grant = { share, address: s.addr, type: s.type, zone: s.zone, spot: s.spot, moveTo: null, retire: false };
       writer.add({
         key: KEY.grant(s.machine),
-        value: () => ({ s: share, a: s.addr, t: s.type, z: s.zone, sp: s.spot }),
+        value: () => encodeGrant(grant),
         guard: 0,
         also: [{ key: KEY.holding('lead'), stamp: this.stamp }],
         urgency: URGENCY.grant,
@@ -324,7 +326,7 @@
     this.context.log('debug', 'move', { machine: m.name, from: m.share, to: share });
     this.context.writer.add({
       key: KEY.grant(m.name),
-      value: () => ({ ...this.context.table.grantOf(m), mv: share }),
+      value: () => encodeGrant({ ...this.context.table.grantOf(m), moveTo: share }),
       guard: m.grantStamp,
       also: [{ key: KEY.holding('lead'), stamp: this.stamp }],
       urgency: URGENCY.grant,
@@ -369,7 +371,7 @@
         this.context.log('info', 'not needed', { machine: m.name, idleS: Math.round(p.idleS) });
         this.context.writer.add({
           key: KEY.grant(m.name),
-          value: () => ({ ...this.context.table.grantOf(m), x: true }),
+          value: () => encodeGrant({ ...this.context.table.grantOf(m), retire: true }),
           guard: m.grantStamp,
           also: [{ key: KEY.holding('lead'), stamp: this.stamp }],
           urgency: URGENCY.progress,
--- /dev/null
+++ b/packages/core/src/names.ts
@@ -0,0 +1,29 @@
+/** Names are dense indices inside the core: decisions compare and count them all the time. */
+
+/** Hands out dense indices for names; index 0 is the first name seen. */
+export class Names {
+  private readonly byName = new Map<string, number>();
+  private readonly names: string[] = [];
+
+  index(name: string): number {
+    let i = this.byName.get(name);
+    if (i === undefined) {
+      i = this.names.length;
+      this.names.push(name);
+      this.byName.set(name, i);
+    }
+    return i;
+  }
+
+  find(name: string): number {
+    return this.byName.get(name) ?? -1;
+  }
+
+  name(i: number): string {
+    return this.names[i] ?? '';
+  }
+
+  get size(): number {
+    return this.names.length;
+  }
+}
--- a/packages/core/src/records.ts
+++ b/packages/core/src/records.ts
@@ -2,7 +2,7 @@
 import { encodeDoneJob } from './job-record.js';
 import type { Job, Machine, Ms } from './model.js';
 import { type ProgressPart, packBits } from './progress-layout.js';
-import { KEY } from './table.js';
+import { KEY } from './state-keys.js';
 import type { Work } from './work.js';
 import { URGENCY } from './writer.js';
 
--- a/packages/core/src/reports.ts
+++ b/packages/core/src/reports.ts
@@ -3,7 +3,7 @@
 import { readJobRecord } from './job-record.js';
 import type { Machine, Ms, Placement } from './model.js';
 import type { Records } from './records.js';
-import { KEY } from './table.js';
+import { KEY } from './state-keys.js';
 import { taskKey, type Work } from './work.js';
 
 /** A worker numbers its reports, two a second at most, and its answers to questions and commands. */
--- /dev/null
+++ b/packages/core/src/state-keys.ts
@@ -0,0 +1,39 @@
+/** The keys of the state service, and the records that are stored under them but for jobs (job-record.ts). */
+import type { MachineType } from '@archpost/wire';
+
+export const KEY = {
+  root: 'a/',
+  holding: (share: number | 'lead') => `a/h/${share}`,
+  grant: (machine: string) => `a/g/${machine}`,
+  job: (id: string) => `a/j/${id}`,
+  progress: (id: string, part: string) => `a/p/${id}/${part}`,
+  types: 'a/types',
+  /** a list of machine types that is too long for one value */
+  typesPart: (index: number) => `a/types/${index}`,
+  /** a part of a job's lists: see job-record.ts */
+  jobPart: (id: string, group: string, index: number) => `a/x/${id}/${group}/${index}`,
+  /** a controller that is there: attached to its state lease */
+  presence: (node: string) => `a/n/${node}`,
+  /** what a controller tells by way of the state service while its link to the lead is down */
+  status: (node: string) => `a/s/${node}`,
+  /** the images that a machine surely has, for whoever owns it next */
+  cache: (machine: string) => `a/c/${machine}`,
+};
+
+export interface Holder {
+  node: string;
+  boot: string;
+}
+
+/** One part of the machine types, and how many parts there are. */
+export interface MachineTypesPart {
+  count: number;
+  list: MachineType[];
+}
+
+/** Throws on what names no holder. */
+export function parseHolder(value: unknown): Holder {
+  const h = value as Partial<Holder> | null;
+  if (typeof h?.node !== 'string' || typeof h.boot !== 'string') throw new Error('not a holder');
+  return h as Holder;
+}
--- a/packages/core/src/submissions.ts
+++ b/packages/core/src/submissions.ts
@@ -5,7 +5,7 @@
 import { statusOf } from './job-status.js';
 import type { Ms } from './model.js';
 import { copies, EPS } from './placement.js';
-import { KEY } from './table.js';
+import { KEY } from './state-keys.js';
 import { NOT_READY, REQUEST_MS, STATE_UNANSWERED, type UserAnswers } from './user-answers.js';
 import { URGENCY, type WriteOutcome } from './writer.js';
 
--- a/packages/core/src/table.ts
+++ b/packages/core/src/table.ts
@@ -1,73 +1,19 @@
 import type { JobSpec, MachineType } from '@archpost/wire';
+import { type Grant, parseGrant } from './grant-record.js';
 import type { FinalState } from './job-record.js';
 import { JobTable } from './job-table.js';
 import { type CoreSettings, Job, Machine, type Ms, Names } from './model.js';
 import { fits } from './placement.js';
 import { ProgressLayout } from './progress-layout.js';
 import type { Entry } from './replica.js';
+import { type Holder, KEY, type MachineTypesPart, parseHolder } from './state-keys.js';
 import { encodedBytes, type StateSizes, stateSizes } from './state-limits.js';
 
-export const KEY = {
-  root: 'a/',
-  holding: (share: number | 'lead') => `a/h/${share}`,
-  grant: (machine: string) => `a/g/${machine}`,
-  job: (id: string) => `a/j/${id}`,
-  progress: (id: string, part: string) => `a/p/${id}/${part}`,
-  types: 'a/types',
-  /** a list of machine types that is too long for one value */
-  typesPart: (index: number) => `a/types/${index}`,
-  /** a part of a job's lists: see job-record.ts */
-  jobPart: (id: string, group: string, index: number) => `a/x/${id}/${group}/${index}`,
-  /** a controller that is there: attached to its state lease */
-  presence: (node: string) => `a/n/${node}`,
-  /** what a controller tells by way of the state service while its link to the lead is down */
-  status: (node: string) => `a/s/${node}`,
-  /** the images that a machine surely has, for whoever owns it next */
-  cache: (machine: string) => `a/c/${machine}`,
-};
-
-export interface Holder {
-  node: string;
-  boot: string;
-}
-
-export interface GrantRecord {
-  s: number;
-  a: string;
-  t: string;
-  z: string;
-  sp: boolean;
-  /** wanted share */
-  mv?: number;
-  /** to be given back */
-  x?: boolean;
-  /** raises the stamp when the record is written again */
-  n?: number;
-}
-
 /** Most images of a machine that are stored. */
 const MOST_IMAGES = 30;
 
 const TYPES_PARTS = 'a/types/';
 
-/** One part of the machine types, and how many parts there are. */
-export interface MachineTypesPart {
-  count: number;
-  list: MachineType[];
-}
-
-function holderIn(value: unknown): Holder {
-  const h = value as Partial<Holder> | null;
-  if (typeof h?.node !== 'string' || typeof h.boot !== 'string') throw new Error('not a holder');
-  return h as Holder;
-}
-
-function grantIn(value: unknown): GrantRecord {
-  const g = value as Partial<GrantRecord> | null;
-  if (typeof g?.s !== 'number' || typeof g.t !== 'string' || typeof g.z !== 'string') throw new Error('not a grant');
-  return g as GrantRecord;
-}
-
 /** Spreads teams over the shares, largest guarantees first, onto the share with the least. */
 export function teamShares(s: CoreSettings): number[] {
   const load = new Array<number>(s.shares).fill(0);
@@ -166,7 +112,7 @@
     const kind = key.slice(2, 4);
     if (kind === 'h/') {
       const name = key.slice(4);
-      if (entry) this.holders.set(name, { holder: holderIn(entry.value), stamp: entry.stamp });
+      if (entry) this.holders.set(name, { holder: parseHolder(entry.value), stamp: entry.stamp });
       else this.holders.delete(name);
       return { holding: name };
     }
@@ -254,38 +200,40 @@
       }
       return {};
     }
-    const g = grantIn(entry.value);
+    const g = parseGrant(entry.value);
     let m = old;
     let moved = false;
     if (!m) {
-      const type = this.typeNames.index(g.t);
-      m = new Machine(name, g.a, type, this.zoneNames.index(g.z), g.sp, this.types[type] ?? null);
+      const type = this.typeNames.index(g.type);
+      m = new Machine(name, g.address, type, this.zoneNames.index(g.zone), g.spot, this.types[type] ?? null);
       m.heardAt = now;
       m.idleSince = now;
       this.machines.set(name, m);
     }
-    if (m.share !== g.s) {
-      m.share = g.s;
+    if (m.share !== g.share) {
+      m.share = g.share;
       m.resolved = false;
       moved = true;
     }
     if (moved) this.recallImages(m);
-    if (g.a) m.addr = g.a;
+    if (g.address) m.addr = g.address;
     m.grantStamp = entry.stamp;
-    m.moveTo = g.mv ?? -1;
-    m.retire = g.x ?? false;
+    m.moveTo = g.moveTo ?? -1;
+    m.retire = g.retire;
     return { machine: m, moved };
   }
 
-  grantOf(m: Machine): GrantRecord {
-    const g: GrantRecord = {
-      s: m.share,
-      a: m.addr,
-      t: this.typeNames.name(m.type),
-      z: this.zoneNames.name(m.zone),
-      sp: m.spot,
+  /** The machine's grant to its share, with nothing else wanted of it. */
+  grantOf(m: Machine): Grant {
+    return {
+      share: m.share,
+      address: m.addr,
+      type: this.typeNames.name(m.type),
+      zone: this.zoneNames.name(m.zone),
+      spot: m.spot,
+      moveTo: null,
+      retire: false,
     };
-    return g;
   }
 
   holder(share: number | 'lead'): { holder: Holder; stamp: number } | null {
--- a/packages/core/src/work.ts
+++ b/packages/core/src/work.ts
@@ -2,7 +2,7 @@
 import type { Context } from './context.js';
 import type { Job, Machine, Ms, Placement } from './model.js';
 import { type Room, take } from './placement.js';
-import { KEY } from './table.js';
+import { KEY } from './state-keys.js';
 
 /** A share that this controller holds. */
 interface Held {
