--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -1,5 +1,6 @@
-import type { Change, Command, Listed, MachineType, PeerStatus, Report, Row } from '@archpost/wire';
-import { goHome, isStatus, reportAnswer } from '@archpost/wire';
+import type { Change, Listed, MachineType, PeerStatus, Report, Row } from '@archpost/wire';
+import { isStatus } from '@archpost/wire';
+import { Barriers } from './barriers.js';
 import type { Context, Peer } from './context.js';
 import { Holdings } from './holdings.js';
 import { Leader } from './leader.js';
@@ -14,6 +15,7 @@
 import { type Applied, Table } from './table.js';
 import { UserRequests } from './user-requests.js';
 import { Vouching } from './vouching.js';
+import { WorkerReports } from './worker-reports.js';
 import { WorkerRouting } from './worker-routing.js';
 import { URGENCY, Writer } from './writer.js';
 
@@ -45,12 +47,13 @@
   private readonly vouching: Vouching;
   private readonly changeRate: ChangeRate;
   private readonly forwarding: ReportForwarding;
+  private readonly workerReports: WorkerReports;
+  private readonly barriers = new Barriers();
   private readonly routing: WorkerRouting;
   private readonly statuses: StatusExchange;
   private effects: Effect[] = [];
   private ids = 1;
   now: Ms = 0;
-  private waiters: { from: Ms; run: (now: Ms) => void; until: Ms; late: (() => void) | undefined }[] = [];
   private typesAskedAt: Ms = -1e12;
 
   constructor(
@@ -80,14 +83,10 @@
     );
     this.forwarding = new ReportForwarding(this);
     this.routing = new WorkerRouting(this);
-    this.statuses = new StatusExchange(this, {
-      owner: this.owner,
-      leader: this.leader,
-      forwarding: this.forwarding,
-      routing: this.routing,
-      vouching: this.vouching,
-      mayAnswerWorkers: (now) => this.mayAnswerWorkers(now),
-    });
+    const { owner, leader, forwarding, routing, vouching } = this;
+    this.workerReports = new WorkerReports(this, { owner, leader, forwarding, routing, vouching });
+    const mayAnswerWorkers = (now: Ms) => this.workerReports.mayAnswer(now);
+    this.statuses = new StatusExchange(this, { owner, leader, forwarding, routing, vouching, mayAnswerWorkers });
   }
 
   // ---- context
@@ -121,7 +120,7 @@
 
   /** Runs once the replica holds everything that was so when this was called. */
   afterBarrier(now: Ms, run: (now: Ms) => void, until = Number.POSITIVE_INFINITY, late?: () => void): void {
-    this.waiters.push({ from: now, run, until, late });
+    this.barriers.add(now, run, until, late);
     this.emit({ t: 'barrier', soon: true });
   }
 
@@ -198,11 +197,7 @@
     this.replica.apply(list, revision);
     if (asOf > this.freshAt) this.freshAt = asOf;
     this.storeAt = now;
-    const due = this.waiters.filter((w) => w.from <= asOf);
-    if (due.length > 0) {
-      this.waiters = this.waiters.filter((w) => w.from > asOf);
-      for (const w of due) w.run(now);
-    }
+    this.barriers.fresh(asOf, now);
     this.userRequests.fresh(asOf);
     this.after(now);
   }
@@ -285,78 +280,16 @@
 
   // ---- workers
 
-  report(id: number, r: Report, now: Ms): void {
+  report(id: number, report: Report, now: Ms): void {
     this.now = now;
-    if (!this.mayAnswerWorkers(now)) {
-      this.toWorker(id, 503, { error: 'not entitled' });
-      return;
-    }
-    const m = this.table.machines.get(r.machine);
-    if (!m) {
-      this.leader.stranger({ machine: r.machine, addr: r.addr, type: r.type, zone: r.zone, spot: r.spot }, now);
-      this.toWorker(id, 421, goHome(null));
-      this.after(now);
-      return;
-    }
-    const holder = this.table.holder(m.share)?.holder.node ?? null;
-    // It has been told a higher token than is known here: whatever is answered, it drops, and
-    // stays here while its lease runs out. Another controller must answer it.
-    if (r.token > this.table.token(m)) {
-      this.toWorker(id, 503, { error: 'not entitled' });
-      return;
-    }
-    const elsewhere = this.routing.sendTo(r, holder, now);
-    if (elsewhere !== null) {
-      this.toWorker(id, 421, goHome(elsewhere));
-      return;
-    }
-    this.routing.answered(r.machine, now);
-    if (this.owner.work.holds(m.share, now)) this.owner.reports.observe(m, r, now);
-    // The work must not die because its owner did, or can't be reached from here.
-    else this.forwarding.hear(r, holder, now);
-    this.toWorker(id, 200, reportAnswer(this.table.token(m), this.cancelledOf(r)));
+    this.workerReports.receive(id, report, now);
     this.after(now);
   }
 
-  /**
-   * What a report names of cancelled jobs is stopped by the answer, whoever gives it: a direct command may
-   * not get through where the answer does, and the answer is what lets the work live on.
-   */
-  private cancelledOf(r: Report): Command[] {
-    const stops: Command[] = [];
-    for (const t of r.tasks) {
-      if (t.state !== 'exited' && this.table.finals.get(t.job) === 'cancelled')
-        stops.push({ op: 'stop', job: t.job, index: t.index, attempt: t.attempt, graceS: 0 });
-    }
-    return stops;
-  }
-
-  private toWorker(id: number, status: number, body: unknown): void {
-    this.told.set(status, (this.told.get(status) ?? 0) + 1);
-    this.emit({ t: 'answer', id, status, body });
-  }
-
-  /**
-   * May workers' reports be answered here, so that their leases go on? For as long as a
-   * cancellation that we can't have learned of would still be kept: what we last let go on
-   * ends by its worker's lease in time. Without a lease no command of ours goes out
-   * meanwhile, and nobody counts a worker's lease as over.
-   */
-  private mayAnswerWorkers(now: Ms): boolean {
-    if (!this.replica.loaded) return false;
-    const { cancelS, leaseS, reportS } = this.settings.workers;
-    const sure = Math.max(this.freshAt, this.vouching.since(now));
-    return now - sure < (cancelS - leaseS - reportS) * 1000;
-  }
-
-  /** A report that a keeper passed on. */
-  relayed(r: Report, now: Ms): void {
+  /** A report that another controller answered and passed on. */
+  relayed(report: Report, now: Ms): void {
     this.now = now;
-    const m = this.table.machines.get(r.machine);
-    if (!m || this.table.holder(m.share)?.holder.node !== this.settings.node || !this.owner.work.holds(m.share, now)) return;
-    this.owner.reports.observe(m, r, now);
-    // Workers of our own zone report here, unless this controller or the machine is apart.
-    if (r.zone === this.settings.zone) this.owner.reports.doubt(m, now);
+    this.workerReports.relayed(report, now);
     this.after(now);
   }
 
@@ -441,8 +374,6 @@
     this.peers.set(status.node, { status, running: this.peers.get(status.node)?.running ?? new Map(), at: this.now, up: false });
   }
 
-  /** answers to workers since the last look, by status */
-  private readonly told = new Map<number, number>();
   private lastFigures: Ms = 0;
   // ---- time
 
@@ -478,12 +409,9 @@
   tick(now: Ms, wall: Ms = now): void {
     this.now = now;
     this.table.wallOffset = wall - now;
-    const late = this.waiters.filter((w) => now > w.until);
-    if (late.length > 0) {
-      this.waiters = this.waiters.filter((w) => now <= w.until);
-      for (const w of late) w.late?.();
-    }
-    if (this.waiters.length > 0 || this.userRequests.asking) this.emit({ t: 'barrier', soon: this.waiters.length > 0 });
+    this.barriers.expire(now);
+    const soon = this.barriers.size > 0;
+    if (soon || this.userRequests.asking) this.emit({ t: 'barrier', soon });
     this.userRequests.tick(now);
     this.holdings.tick(now);
     this.owner.tick(now);
@@ -497,12 +425,11 @@
       this.lastFigures = now;
       this.log('debug', 'figures', {
         changes: this.writer.purposes(),
-        workers: Object.fromEntries(this.told),
+        workers: this.workerReports.takeCounts(),
         jobs: this.table.jobs.size,
         machines: this.table.machines.size,
-        barriers: this.waiters.length,
+        barriers: this.barriers.size,
       });
-      this.told.clear();
     }
     this.writer.allow(this.statuses.shareOfChanges(this.changeRate.perSecond(now), now));
     this.statuses.tick(now);
--- a/packages/core/src/owner.ts
+++ b/packages/core/src/owner.ts
@@ -1,21 +1,18 @@
-import type { PeerDemand, PeerMachine, PeerShare } from '@archpost/wire';
+import type { PeerShare } from '@archpost/wire';
 import { Commands } from './commands.js';
 import type { Context } from './context.js';
 import { Fleet } from './fleet.js';
 import { type Job, type Machine, type Ms, type Placement, TOP_RANK } from './model.js';
 import { Order } from './order.js';
-import { zoneAllows, zoneCounts } from './placement.js';
 import { Planner } from './planner.js';
 import { Records } from './records.js';
 import { Reports } from './reports.js';
+import { ShareViews } from './share-view.js';
 import { Work } from './work.js';
 
 /** All jobs are gone over this often for what time alone brings: plans to release, completions to store. */
 const JOBS_MS = 300;
 
-/** What is told of a share is worked out anew after this long. */
-const TOLD_MS = 400;
-
 /** Decisions for the shares held here: what starts where, what stops, what is stored. */
 export class Owner {
   readonly work: Work;
@@ -25,6 +22,7 @@
   private readonly records: Records;
   private readonly order: Order;
   private readonly planner: Planner;
+  private readonly views: ShareViews;
   private lastSummary: Ms = 0;
   private jobsAt: Ms = -1e12;
 
@@ -36,6 +34,7 @@
     this.commands = new Commands(context, this.work, this.reports);
     this.order = new Order(context, this.work);
     this.planner = new Planner(context, this.work, this.order);
+    this.views = new ShareViews(context, this.work, this.order, this.planner);
   }
 
   /** The shares held here. */
@@ -77,7 +76,7 @@
 
   lost(share: number): void {
     this.work.held.delete(share);
-    this.told.delete(share);
+    this.views.forget(share);
     for (const m of this.context.table.machines.values()) {
       if (m.share !== share) continue;
       m.placements.clear();
@@ -252,91 +251,9 @@
     if (all.length < j.spec.tasks && j.doneCount < j.spec.tasks && !this.work.unproven(j)) this.work.failGang(j);
   }
 
-  /** As it was at most a moment ago: the lead and the status both ask. */
+  /** What is told of a share to the leader. */
   share(share: number, now: Ms): PeerShare {
-    const old = this.told.get(share);
-    if (old && now - old.at < TOLD_MS && this.held.has(share)) return old.share;
-    const fresh = this.view(share, now);
-    this.told.set(share, { at: now, share: fresh });
-    return fresh;
-  }
-
-  private readonly told = new Map<number, { at: Ms; share: PeerShare }>();
-
-  private view(share: number, now: Ms): PeerShare {
-    const guar = this.order.guarantees();
-    const machines: PeerMachine[] = [];
-    const clearable = this.planner.clearable(share, now);
-    for (const m of this.context.table.machines.values()) {
-      if (m.share !== share) continue;
-      const r = this.work.roomOf(m);
-      let firmRank = -1;
-      for (const p of m.placements.values()) {
-        if (p.phase === 'exited' || (p.job.spec.shape === 'service' && clearable.has(m))) continue;
-        // Within a guarantee it gives way to the highest rank only.
-        firmRank = Math.max(firmRank, p.job.rank, guar.get(p.job)?.firm ? TOP_RANK - 1 : -1);
-      }
-      if (!this.work.usable(m, now)) firmRank = 9;
-      machines.push({
-        name: m.name,
-        freeCpus: Math.max(0, r.cpus),
-        freeGpus: Math.max(0, r.gpus),
-        freeMemory: Math.max(0, r.memory),
-        tasks: m.placements.size,
-        firmRank,
-        idleS: m.placements.size === 0 ? (now - m.idleSince) / 1000 : 0,
-        services: this.work.servicesOn(m).length,
-      });
-    }
-    // Alike wants are told as one.
-    const demands = new Map<string, PeerDemand>();
-    for (const u of this.work.unmet) {
-      if (u.job.share !== share) continue;
-      const s = u.job.spec;
-      const gang = s.shape === 'gang';
-      const counts = zoneCounts(u.job);
-      const notZones = gang
-        ? []
-        : this.context.settings.zones.filter((z) => !zoneAllows(u.job, counts, this.context.table.zoneNames.find(z)));
-      const key = [
-        s.cpus,
-        s.gpus,
-        s.memory,
-        s.types?.join(',') ?? '',
-        s.zone ?? '',
-        s.spot,
-        u.job.rank,
-        u.within,
-        s.shape,
-        notZones,
-      ].join('/');
-      const waitS = (now - Math.max(u.job.arrivedAt, u.job.waitsSince)) / 1000;
-      const slackS = Math.max(-1e4, Math.min(1e4, (this.order.dueOf(u.job, now) - now) / 1000));
-      const old = demands.get(key);
-      if (old) {
-        old.count += u.count;
-        old.waitS = Math.max(old.waitS, waitS);
-        old.slackS = Math.min(old.slackS, slackS);
-        continue;
-      }
-      if (demands.size >= 32) continue;
-      demands.set(key, {
-        cpus: s.cpus,
-        gpus: s.gpus,
-        memory: s.memory,
-        types: s.types ?? [],
-        zone: s.zone ?? '',
-        spot: s.spot,
-        rank: u.job.rank,
-        within: u.within,
-        count: u.count,
-        gang,
-        waitS,
-        slackS,
-        notZones,
-      });
-    }
-    return { share, machines, demands: [...demands.values()] };
+    return this.views.of(share, now);
   }
 
   /** Tasks that run and are done, by job, and how often one failed of those that fail everywhere. */
--- a/packages/core/src/work.ts
+++ b/packages/core/src/work.ts
@@ -10,6 +10,14 @@
   stamp: number;
 }
 
+/** Tasks of a job that found no room. */
+export interface UnmetWork {
+  job: Job;
+  count: number;
+  /** within its team's guarantee */
+  within: boolean;
+}
+
 /** The watch brings something, if only that nothing changed, more often than this. */
 const WATCH_LATE_MS = 4000;
 
@@ -28,7 +36,7 @@
   answeredAt: Ms = 0;
   readonly unanswered = new Set<string>();
   /** what is left without room after the last plan */
-  unmet: { job: Job; count: number; within: boolean }[] = [];
+  unmet: UnmetWork[] = [];
 
   readonly blame: Blame;
 
