--- a/packages/core/src/share-view.ts
+++ b/packages/core/src/share-view.ts
@@ -99,12 +99,13 @@
 
   private demandOf({ job, count, within }: UnmetWork, now: Ms): PeerDemand {
     const { cpus, gpus, memory, zone, spot, shape } = job.spec;
+    const { typeNames } = this.context.table;
     const slackS = (this.order.dueOf(job, now) - now) / 1000;
     return {
       cpus,
       gpus,
       memory,
-      types: job.spec.types ?? [],
+      types: job.types?.map((type) => typeNames.name(type)) ?? [],
       zone: zone ?? '',
       spot,
       rank: job.rank,
--- a/packages/core/src/table.ts
+++ b/packages/core/src/table.ts
@@ -68,7 +68,7 @@
     this.jobTable = new JobTable(
       (spec) => this.makeJob(spec),
       (name) => this.typeNames.index(name),
-      (job) => this.noteGpuNeed(job.spec),
+      (job) => this.noteGpuNeed(job),
       this.progress,
     );
     this.jobs = this.jobTable.jobs;
@@ -160,11 +160,11 @@
   /** shares whose teams have had work for accelerators */
   readonly gpuShares = new Set<number>();
 
-  private noteGpuNeed(spec: JobSpec): void {
+  private noteGpuNeed({ spec, share, types }: Job): void {
     if (spec.gpus <= 0) return;
-    this.gpuShares.add(this.teamShare[this.teamNames.find(spec.team)] ?? 0);
+    this.gpuShares.add(share);
     this.types.forEach((t, i) => {
-      if (!t || !fits(spec, t) || (spec.types !== null && !spec.types.includes(t.name))) return;
+      if (!t || !fits(spec, t) || (types !== null && !types.includes(i))) return;
       const old = this.gpuNeed.get(i);
       this.gpuNeed.set(i, {
         cpus: Math.max(old?.cpus ?? 0, spec.cpus),
--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -281,6 +281,20 @@
   c.until('it runs', () => c.allDone('run-parts'), 20);
 });
 
+// The leader rents by what is told: told half a list, it would rent nothing, or the wrong thing.
+test('what is told of waiting work names all machine types that its parts hold', () => {
+  const c = cluster(0);
+  const put = (key: string, value: unknown) => c.state.txn({ t: 'txn', id: 0, guards: [], writes: [{ put: key, value }] }, c.now);
+  const spec = job('run-parts', { types: ['none'], gpus: 1 });
+  c.specs.set(spec.id, spec);
+  put('a/x/run-parts/group/0', { ty: ['big'] });
+  put('a/j/run-parts', { s: 0, t: 0, sp: spec, x: { k: 'group', n: 1 } });
+  c.run(2);
+  const owner = c.node(holderOf(c, 0)).core;
+  assert.deepEqual(owner.owner.share(0, c.now).demands[0]?.types, ['none', 'big']);
+  assert.equal(owner.table.gpuNeed.size, 1);
+});
+
 // Larger records of before stay as they are: completed, cancelled and handed over without being written again.
 test('after the fall large records of before can still be completed and cancelled', () => {
   const c = cluster(6);
