--- a/packages/core/src/demand.ts
+++ b/packages/core/src/demand.ts
@@ -1,5 +1,8 @@
-import type { MachineType, PeerDemand } from '@archpost/wire';
+/** Work that waits for room, and what kinds of machines would serve it. */
+import type { MachineType, PeerDemand, PeerShare } from '@archpost/wire';
 import type { Context } from './context.js';
+import type { Need } from './model.js';
+import { copies } from './placement.js';
 
 /** What the cloud sells: a type in a zone, ordinary or cheap. */
 export interface Kind {
@@ -24,3 +27,39 @@
     (d.spot || !spot)
   );
 }
+
+/** Work of a share that waits for room, and how many of its tasks are not served yet by what is on its way. */
+export interface WaitingWork {
+  share: number;
+  demand: PeerDemand;
+  left: number;
+}
+
+/** Work that waited for less than this may find room by itself. */
+const BRIEF_WAIT_S = 0.2;
+
+/** What waits for room, the most urgent first. */
+export function waitingWork(shares: Iterable<PeerShare>): WaitingWork[] {
+  const waiting: WaitingWork[] = [];
+  for (const { share, demands } of shares) {
+    for (const demand of demands) if (demand.waitS > BRIEF_WAIT_S) waiting.push({ share, demand, left: demand.count });
+  }
+  return waiting.sort(
+    ({ demand: a }, { demand: b }) => b.rank - a.rank || Number(b.within) - Number(a.within) || b.waitS - a.waitS,
+  );
+}
+
+/** Takes off what a machine of this kind will serve of a share's waiting work. */
+export function serve(waiting: WaitingWork[], share: number, kind: Kind, capacity: MachineType): void {
+  const free: Need = { cpus: capacity.cpus, gpus: capacity.gpus, memory: capacity.memory };
+  for (const work of waiting) {
+    const { demand } = work;
+    if (work.share !== share || work.left <= 0) continue;
+    if (!suits(demand, kind.type, kind.zone, kind.spot)) continue;
+    const count = Math.min(work.left, copies(demand, free));
+    work.left -= count;
+    free.cpus -= count * demand.cpus;
+    free.gpus -= count * demand.gpus;
+    free.memory -= count * demand.memory;
+  }
+}
--- a/packages/core/src/leader.ts
+++ b/packages/core/src/leader.ts
@@ -1,45 +1,24 @@
-import type { MachineType, PeerDemand, PeerMachine, PeerShare } from '@archpost/wire';
+import type { MachineType, PeerMachine, PeerShare } from '@archpost/wire';
 import type { Context } from './context.js';
-import { type Kind, suits, typeOf } from './demand.js';
+import { serve, suits, waitingWork } from './demand.js';
 import { encodeGrant } from './grant-record.js';
-import { type Machine, type Ms, type Need, SCARCE_AFTER_S, TOP_RANK } from './model.js';
+import { Grants, type Stranger } from './grants.js';
+import { type Machine, type Ms, SCARCE_AFTER_S, TOP_RANK } from './model.js';
 import type { Owner } from './owner.js';
 import { copies } from './placement.js';
 import { Rentals } from './rentals.js';
 import { KEY } from './state-keys.js';
 import { URGENCY } from './writer.js';
 
-export interface Stranger extends Kind {
-  machine: string;
-  addr: string;
-}
-
-/** Work of a share that waits for room, and how much of it is still unserved on paper. */
-interface Want {
-  share: number;
-  d: PeerDemand;
-  left: number;
-}
-
-/** A machine given to a share a moment ago. */
-interface Granted extends Kind {
-  share: number;
-  at: Ms;
-}
-
-/** A granted machine is probed, planned for and told of within this time. */
-const GRANT_SHOWS_MS = 1500;
-
 /** Work of the highest rank that waited for so many plan waits gets machines that bear firm work elsewhere. */
 const PRESSING_PLAN_WAITS = 1.5;
 
-/** The elected lead: grants machines to shares, moves them, and lets go what is idle. */
+/** The elected leader: grants machines to shares, moves them, and lets go what is idle. */
 export class Leader {
   private since: Ms = -1;
   private stamp = 0;
   private lastRound: Ms = -1e12;
-  private readonly strangers = new Map<string, { s: Stranger; at: Ms }>();
-  private readonly granting = new Set<string>();
+  private readonly grants: Grants;
   readonly rentals: Rentals;
   private readonly moves = new Map<string, Ms>();
   private readonly movedAt = new Map<string, Ms>();
@@ -49,10 +28,11 @@
     private readonly context: Context,
     private readonly owner: Owner,
   ) {
+    this.grants = new Grants(context, () => this.rentals);
     this.rentals = new Rentals(
       context,
-      (machine) => this.granting.has(machine),
-      (now) => this.freshGrants(now),
+      (machine) => this.grants.pending(machine),
+      (now) => this.grants.recent(now),
       (zone) => owner.fleet.cut(zone),
     );
   }
@@ -78,18 +58,17 @@
   }
 
   stranger(s: Stranger, now: Ms): void {
-    this.strangers.set(s.machine, { s, at: now });
+    this.grants.reported(s, now);
   }
 
   strangersNow(now: Ms): Stranger[] {
-    for (const [k, v] of this.strangers) if (now - v.at > 4000 || this.context.table.machines.has(k)) this.strangers.delete(k);
-    return [...this.strangers.values()].map((x) => x.s);
+    return this.grants.reportedLately(now);
   }
 
   tick(now: Ms): void {
     if (this.since < 0 || !this.context.leaseValid(now)) return;
     this.rentals.askList(now);
-    this.grantStrangers(now);
+    this.grants.grantAll(() => this.shares(now), this.stamp, now);
     // A round weighs all machines: with many of them, rounds are rarer.
     if (
       now - this.lastRound < 500 + this.context.table.machines.size ||
@@ -117,93 +96,6 @@
     return out;
   }
 
-  private grantStrangers(now: Ms): void {
-    const { table, writer } = this.context;
-    const all = new Map<string, Stranger>();
-    const add = (s: Stranger) => {
-      if (table.machines.has(s.machine) || this.granting.has(s.machine)) return;
-      // Else a late report of a machine that was given back.
-      if (!this.rentals.goneLately(s.machine, now)) all.set(s.machine, s);
-    };
-    for (const s of this.strangersNow(now)) add(s);
-    for (const p of this.context.peers.values()) if (now - p.at < 5000) for (const s of p.status.strangers) add(s);
-    if (all.size === 0) return;
-    const wants = this.wants(this.shares(now));
-    for (const g of this.freshGrants(now)) {
-      const cap = typeOf(this.context, g.type);
-      if (cap) this.serve(wants, g.share, g, cap);
-    }
-    for (const s of all.values()) {
-      this.granting.add(s.machine);
-      this.rentals.up(s.machine, s, now);
-      const share = this.shareInNeed(s, wants) ?? this.shareFor(s.type);
-      this.pendingGrants.set(s.machine, { share, type: s.type, zone: s.zone, spot: s.spot, at: now });
-      const grant = { share, address: s.addr, type: s.type, zone: s.zone, spot: s.spot, moveTo: null, retire: false };
-      writer.add({
-        key: KEY.grant(s.machine),
-        value: () => encodeGrant(grant),
-        guard: 0,
-        also: [{ key: KEY.holding('lead'), stamp: this.stamp }],
-        urgency: URGENCY.grant,
-        until: now + 8000,
-        done: () => {
-          this.granting.delete(s.machine);
-          this.rentals.granted(s.machine);
-        },
-      });
-    }
-  }
-
-  private readonly pendingGrants = new Map<string, Granted>();
-
-  /** What was granted so lately that its share's wants don't show it yet. */
-  private freshGrants(now: Ms): Granted[] {
-    for (const [name, g] of this.pendingGrants) {
-      if (!this.granting.has(name) && now - g.at > GRANT_SHOWS_MS) this.pendingGrants.delete(name);
-    }
-    return [...this.pendingGrants.values()];
-  }
-
-  /** The share whose waiting work the machine serves best; what needs accelerators comes first on those. */
-  private shareInNeed(s: Stranger, wants: Want[]): number | null {
-    const cap = typeOf(this.context, s.type);
-    if (!cap) return null;
-    const fit = (w: Want) => w.left > 0 && copies(w.d, cap) >= 1 && suits(w.d, s.type, s.zone, s.spot);
-    const w = (cap.gpus > 0 && !s.spot ? wants.find((x) => x.d.gpus > 0 && fit(x)) : undefined) ?? wants.find(fit);
-    if (!w) return null;
-    this.serve(wants, w.share, s, cap);
-    return w.share;
-  }
-
-  /** The share that is worst off for this type, by what its teams are guaranteed. */
-  private shareFor(type: string): number {
-    const { table, settings } = this.context;
-    const cap = typeOf(this.context, type);
-    const have = new Array<number>(settings.shares).fill(0);
-    const ti = table.typeNames.index(type);
-    for (const m of table.machines.values()) {
-      const s = m.moveTo >= 0 ? m.moveTo : m.share;
-      if (m.type === ti && s >= 0) have[s] = (have[s] ?? 0) + 1;
-    }
-    for (const [name, g] of this.pendingGrants)
-      if (g.type === type && !table.machines.has(name)) have[g.share] = (have[g.share] ?? 0) + 1;
-    const weight = new Array<number>(settings.shares).fill(0);
-    settings.teams.forEach((t, i) => {
-      const s = table.teamShare[i] ?? 0;
-      weight[s] = (weight[s] ?? 0) + ((cap?.gpus ?? 0) > 0 ? t.gpus + 0.1 : 1);
-    });
-    // A share without teams has no use for machines.
-    let best = Math.max(
-      0,
-      weight.findIndex((w) => w > 0),
-    );
-    for (let k = best + 1; k < settings.shares; k++) {
-      if ((weight[k] as number) <= 0) continue;
-      if ((have[k] as number) / (weight[k] as number) < (have[best] as number) / (weight[best] as number)) best = k;
-    }
-    return best;
-  }
-
   /** Free machines, or such as bear lesser work only, go where work has no room. */
   private move(shares: Map<number, PeerShare>, now: Ms): void {
     const { table } = this.context;
@@ -211,17 +103,14 @@
       const m = table.machines.get(name);
       if (!m || (m.moveTo < 0 && now - at > 3000)) this.moves.delete(name);
     }
-    const wants = this.wants(shares);
-    for (const g of this.freshGrants(now)) {
-      const cap = typeOf(this.context, g.type);
-      if (cap) this.serve(wants, g.share, g, cap);
-    }
+    const wants = waitingWork(shares.values());
+    this.grants.serveRecent(wants, now);
     const taken = new Set<string>();
     // What is on its way already serves the first who want it.
     for (const [name] of this.moves) {
       const m = table.machines.get(name);
       if (!m || m.moveTo < 0 || !m.cap) continue;
-      this.serve(wants, m.moveTo, { type: m.cap.name, zone: table.zoneNames.name(m.zone), spot: m.spot }, m.cap);
+      serve(wants, m.moveTo, { type: m.cap.name, zone: table.zoneNames.name(m.zone), spot: m.spot }, m.cap);
       taken.add(name);
     }
     const idle = (s: PeerShare) =>
@@ -236,7 +125,7 @@
         if (s.share === w.share) continue;
         // A share in the same need keeps what it has.
         const rival = s.demands.some(
-          (d) => d.rank > w.d.rank || (d.rank === w.d.rank && (d.within || !w.d.within) && d.waitS > 0.2),
+          (d) => d.rank > w.demand.rank || (d.rank === w.demand.rank && (d.within || !w.demand.within) && d.waitS > 0.2),
         );
         for (const p of s.machines) {
           const m = table.machines.get(p.name);
@@ -245,14 +134,14 @@
           // for a while: going to and fro would serve nobody.
           const moved = this.movedAt.get(p.name) ?? -1e12;
           if (now - moved < (p.tasks > 0 ? 30_000 : 3000)) continue;
-          if (p.services > 0 && (w.d.waitS < 3 || now - this.clearedAt < 3000)) continue;
-          if (p.firmRank >= w.d.rank || copies(w.d, m.cap) < 1) continue;
-          if (!suits(w.d, m.cap.name, table.zoneNames.name(m.zone), m.spot)) continue;
+          if (p.services > 0 && (w.demand.waitS < 3 || now - this.clearedAt < 3000)) continue;
+          if (p.firmRank >= w.demand.rank || copies(w.demand, m.cap) < 1) continue;
+          if (!suits(w.demand, m.cap.name, table.zoneNames.name(m.zone), m.spot)) continue;
           if (
             rival &&
             s.demands.some(
               (d) =>
-                d.rank >= w.d.rank &&
+                d.rank >= w.demand.rank &&
                 suits(d, (m.cap as MachineType).name, table.zoneNames.name(m.zone), m.spot) &&
                 copies(d, m.cap as MachineType) >= 1,
             )
@@ -263,23 +152,27 @@
           const scarce = m.cap.gpus > 0 && !m.spot && !this.context.plenty(m.cap.name) && table.gpuShares.has(s.share);
           // Work on them gives way only to what has pressed for longer than its own share needs to clear one.
           const pressing =
-            w.d.rank >= TOP_RANK &&
-            w.d.waitS > PRESSING_PLAN_WAITS * this.context.settings.policy.planWaitS &&
-            w.left * 2 >= copies(w.d, m.cap);
-          if (w.d.gpus === 0 && scarce && (w.d.rank < TOP_RANK || w.d.waitS < SCARCE_AFTER_S || (p.tasks > 0 && !pressing)))
+            w.demand.rank >= TOP_RANK &&
+            w.demand.waitS > PRESSING_PLAN_WAITS * this.context.settings.policy.planWaitS &&
+            w.left * 2 >= copies(w.demand, m.cap);
+          if (
+            w.demand.gpus === 0 &&
+            scarce &&
+            (w.demand.rank < TOP_RANK || w.demand.waitS < SCARCE_AFTER_S || (p.tasks > 0 && !pressing))
+          )
             continue;
           if (p.firmRank >= TOP_RANK - 1 && !pressing) continue;
           // Ordinary machines stay for what can't use others.
-          if (w.d.spot && !m.spot && w.d.gpus === 0 && idle(s) <= 3) continue;
-          if (w.d.gpus === 0 && m.cap.gpus > 0 && w.d.rank < 2 && p.tasks > 0) continue;
-          const n = copies(w.d, m.cap);
+          if (w.demand.spot && !m.spot && w.demand.gpus === 0 && idle(s) <= 3) continue;
+          if (w.demand.gpus === 0 && m.cap.gpus > 0 && w.demand.rank < 2 && p.tasks > 0) continue;
+          const n = copies(w.demand, m.cap);
           options.push({
             m,
             p,
             score:
               p.services * 200 +
               (p.tasks > 0 ? 100 + 10 * p.tasks : 0) +
-              (w.d.gpus === 0 && m.cap.gpus > 0 ? 50 : 0) -
+              (w.demand.gpus === 0 && m.cap.gpus > 0 ? 50 : 0) -
               Math.min(n, w.left),
           });
         }
@@ -289,7 +182,7 @@
         if (w.left <= 0 || budget <= 0) break;
         taken.add(o.m.name);
         budget--;
-        w.left -= copies(w.d, o.m.cap as MachineType);
+        w.left -= copies(w.demand, o.m.cap as MachineType);
         this.order(o.m, w.share, now);
         if (o.p.services === 0) continue;
         this.clearedAt = now;
@@ -298,28 +191,6 @@
     }
   }
 
-  /** What waits for room, the most urgent first. */
-  private wants(shares: Map<number, PeerShare>): Want[] {
-    const out: Want[] = [];
-    for (const s of shares.values()) {
-      for (const d of s.demands) if (d.waitS > 0.2) out.push({ share: s.share, d, left: d.count });
-    }
-    return out.sort((a, b) => b.d.rank - a.d.rank || Number(b.d.within) - Number(a.d.within) || b.d.waitS - a.d.waitS);
-  }
-
-  private serve(wants: Want[], share: number, m: { type: string; zone: string; spot: boolean }, cap: MachineType): void {
-    const free: Need = { cpus: cap.cpus, gpus: cap.gpus, memory: cap.memory };
-    for (const w of wants) {
-      if (w.share !== share || w.left <= 0) continue;
-      if (!suits(w.d, m.type, m.zone, m.spot)) continue;
-      const n = Math.min(w.left, copies(w.d, free));
-      w.left -= n;
-      free.cpus -= n * w.d.cpus;
-      free.gpus -= n * w.d.gpus;
-      free.memory -= n * w.d.memory;
-    }
-  }
-
   private order(m: Machine, share: number, now: Ms): void {
     this.movedAt.set(m.name, now);
     this.moves.set(m.name, now);
