One piece where the change wrote the same twice: run estimates, refused readings, outcomes

Job.runMs serves order, places and dependencies; UserAnswers.afterBarrier serves submissions and cancellations, which each wrote the refusal of a late reading; readiness of a submission goes by the check that questions use; the times of a released job are set in one place; a transaction's outcome is one type, in wire; NEVER and the size of a KiB are defined once.

--- a/packages/core/src/cancellations.ts
+++ b/packages/core/src/cancellations.ts
@@ -5,7 +5,7 @@
 import type { Ms } from './model.js';
 import type { Entry } from './replica.js';
 import { KEY } from './state-keys.js';
-import { NO_SUCH_JOB, REQUEST_MS, STATE_UNANSWERED, type UserAnswers } from './user-answers.js';
+import { NO_SUCH_JOB, REQUEST_MS, type UserAnswers } from './user-answers.js';
 import { URGENCY } from './writer.js';
 
 export class Cancellations {
@@ -21,14 +21,9 @@
     const until = now + REQUEST_MS;
     if (this.tryCancel(id, job, until)) return;
     // It may have been accepted elsewhere a moment ago.
-    this.context.afterBarrier(
-      now,
-      () => {
-        if (!this.tryCancel(id, job, until)) this.answers.answer(id, 404, NO_SUCH_JOB);
-      },
-      until,
-      () => this.answers.busy(id, STATE_UNANSWERED),
-    );
+    this.answers.afterBarrier(id, now, until, () => {
+      if (!this.tryCancel(id, job, until)) this.answers.answer(id, 404, NO_SUCH_JOB);
+    });
   }
 
   /** False if no record of the job is known here. */
--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -1,4 +1,4 @@
-import type { Change, Listed, MachineType, PeerStatus, Report, Row } from '@archpost/wire';
+import type { Change, Listed, MachineType, PeerStatus, Report, Row, TxnOutcome } from '@archpost/wire';
 import { isStatus } from '@archpost/wire';
 import { Barriers } from './barriers.js';
 import type { Context, Peer } from './context.js';
@@ -202,7 +202,7 @@
     this.after(now);
   }
 
-  txnResult(id: number, r: Parameters<Writer['result']>[1], now: Ms): void {
+  txnResult(id: number, r: TxnOutcome, now: Ms): void {
     this.now = now;
     if (r.kind !== 'refused' && r.kind !== 'unknown') this.storeAt = now;
     if (r.kind === 'limited') this.changeRate.refused(now);
--- a/packages/core/src/dependencies.ts
+++ b/packages/core/src/dependencies.ts
@@ -18,8 +18,7 @@
 
 /** Time that a job takes once it may start, by its owner's estimate and with the image to fetch at 1 GB a second. */
 export function expectedMs(job: Job): Ms {
-  const runS = job.ranS > 0 ? job.ranS : job.spec.estimateS;
-  return (runS + job.spec.imageGb) * 1000;
+  return job.runMs + job.spec.imageGb * 1000;
 }
 
 /**
--- a/packages/core/src/job-table.ts
+++ b/packages/core/src/job-table.ts
@@ -45,7 +45,7 @@
   constructor(
     private readonly makeJob: (spec: JobSpec) => Job,
     private readonly typeIndex: (name: string) => number,
-    /** called once for each job, when nothing is left that it awaits */
+    /** called when nothing is left that a job awaits; a second call for it changes nothing */
     private readonly startable: (job: Job) => void,
     private readonly progress: ProgressLayout,
   ) {}
@@ -92,12 +92,16 @@
     return [...released, ...cancelled];
   }
 
-  /** Its times count from the moment when the last job that it needs was done, whoever saw that. */
   private release(job: Job, now: Ms): void {
-    job.arrivedAt = job.readyAt > 0 ? Math.min(now, job.readyAt - this.wallOffset) : now;
+    this.countTimes(job, now);
     this.startable(job);
   }
 
+  /** Its times count from the moment when the last job that it needs was done, whoever saw that. */
+  private countTimes(job: Job, now: Ms): void {
+    job.arrivedAt = job.readyAt > 0 ? Math.min(now, job.readyAt - this.wallOffset) : now;
+  }
+
   private noteCancelled(job: Job, now: Ms): void {
     if (job.state === 'cancelled' && job.cancelledAt < 0) job.cancelledAt = now;
   }
@@ -113,7 +117,7 @@
     const cancelled = this.dependencies.add(job, stored.awaits);
     if (cancelled.length > 0) return cancelled;
     if (stored.parts) return this.awaitParts(job, `${job.spec.id}/${stored.parts.group}`, stored.parts.count, now);
-    if (job.readyAt > 0 && !job.waits) job.arrivedAt = Math.min(now, job.readyAt - this.wallOffset);
+    if (!job.waits) this.countTimes(job, now);
     return [];
   }
 
--- a/packages/core/src/job.ts
+++ b/packages/core/src/job.ts
@@ -104,6 +104,11 @@
     return this.spec;
   }
 
+  /** How long one of its tasks runs: the longest so far, or else its owner's estimate. */
+  get runMs(): Ms {
+    return (this.ranS > 0 ? this.ranS : this.spec.estimateS) * 1000;
+  }
+
   /** It awaits others, or what it awaits isn't known yet: none of its tasks may start. */
   get waits(): boolean {
     return this.awaited.size > 0 || this.missingParts > 0;
--- a/packages/core/src/order.ts
+++ b/packages/core/src/order.ts
@@ -83,7 +83,7 @@
   /** By when the job's last task should start, for each objective that can still be kept, soonest first. */
   private dues(j: Job, now: Ms): Ms[] {
     const fetch = j.spec.imageGb * 1000;
-    const run = this.runMs(j);
+    const run = j.runMs;
     const out: Ms[] = [];
     for (const o of this.objectives.get(j.spec.cls) ?? []) {
       const at = j.arrivedAt + o.withinMs - (o.wait ? fetch : run + fetch);
@@ -110,10 +110,6 @@
     return j.arrivedAt + (this.objectives.has(j.spec.cls) ? 1e7 : (j.spec.deadlineS ?? 600) * 1000);
   }
 
-  private runMs(j: Job): Ms {
-    return (j.ranS > 0 ? j.ranS : j.spec.estimateS) * 1000;
-  }
-
   /** A gang that has waited for so long goes before all others of its rank. */
   private aged(j: Job, now: Ms): boolean {
     return j.spec.shape === 'gang' && now - j.arrivedAt > AGED_PLAN_WAITS * this.context.settings.policy.planWaitS * 1000;
@@ -162,7 +158,7 @@
       const open = list.map((w) => ({
         w,
         dues: this.dues(w.j, now),
-        ms: (w.j.pendingCount() * this.runMs(w.j) * w.j.spec.cpus) / pace,
+        ms: (w.j.pendingCount() * w.j.runMs * w.j.spec.cpus) / pace,
       }));
       for (let again = true; again; ) {
         again = false;
--- a/packages/core/src/places.ts
+++ b/packages/core/src/places.ts
@@ -89,8 +89,7 @@
     if (this.gangsWait.has(j.share)) return false;
     const due = this.order.dueOf(j, this.work.now) - this.work.now;
     // Half of the run on top: estimates are often wrong by as much.
-    const run = (j.ranS > 0 ? j.ranS : j.spec.estimateS) * 1000;
-    return due < this.context.table.bootMs(j) * 1.5 + run / 2 || due > 1e6;
+    return due < this.context.table.bootMs(j) * 1.5 + j.runMs / 2 || due > 1e6;
   }
 
   /** Bears more services than accelerator work leaves room for, or is in a share without such work. */
--- a/packages/core/src/progress-layout.ts
+++ b/packages/core/src/progress-layout.ts
@@ -8,8 +8,9 @@
  * read parts too. Bits only ever go from 0 to 1, so keys of both kinds can be united.
  */
 
+import { BYTES_PER_KIB } from './state-limits.js';
+
 const TASKS_PER_DIGIT = 4;
-const BYTES_PER_KIB = 1024;
 
 /** Half of a value is left free: the layout was chosen so by the first version, and stored keys depend on it. */
 const CHUNK_SHARE_OF_VALUE = 0.5;
--- a/packages/core/src/report-forwarding.ts
+++ b/packages/core/src/report-forwarding.ts
@@ -4,7 +4,7 @@
  */
 import type { PeerHeard, Report, TaskReport } from '@archpost/wire';
 import type { Context } from './context.js';
-import type { Ms } from './model.js';
+import { type Ms, NEVER } from './model.js';
 
 /** A machine heard within this time is named in the status. */
 const HEARD_LATELY_MS = 4000;
@@ -15,8 +15,6 @@
 /** What was heard is kept for so many leases: late copies of it may come. */
 const KEPT_LEASES = 10;
 
-const NEVER: Ms = -1e12;
-
 /** The newest report of a machine, and what its owner was told of it. */
 interface HeardMachine {
   report: Report;
--- a/packages/core/src/state-limits.ts
+++ b/packages/core/src/state-limits.ts
@@ -7,7 +7,7 @@
 /** Bytes of a value left to how the service counts: it may add a field or two around what we send. */
 const VALUE_SPARE_BYTES = 64;
 
-const BYTES_PER_KIB = 1024;
+export const BYTES_PER_KIB = 1024;
 
 /** After a refusal for the rate, the higher rate is not tried again for this long. */
 const RATE_PAUSE_MS = 10_000;
--- a/packages/core/src/status-exchange.ts
+++ b/packages/core/src/status-exchange.ts
@@ -6,7 +6,7 @@
 import type { PeerStatus } from '@archpost/wire';
 import type { Context } from './context.js';
 import type { Leader } from './leader.js';
-import type { Ms } from './model.js';
+import { type Ms, NEVER } from './model.js';
 import type { Owner } from './owner.js';
 import type { ReportForwarding } from './report-forwarding.js';
 import { KEY } from './state-keys.js';
@@ -27,8 +27,6 @@
 const USED_SHARE = 0.95;
 const LEAST_SHARE = 0.3;
 
-const NEVER: Ms = -1e12;
-
 type Running = ReturnType<Owner['running']>;
 
 /** What of this controller goes into a status. */
--- a/packages/core/src/submissions.ts
+++ b/packages/core/src/submissions.ts
@@ -25,8 +25,8 @@
     const { spec } = parsed;
     const final = this.context.table.finals.get(spec.id);
     if (final) return this.answers.answer(id, 200, jobAnswer(spec.id, final));
-    if (!this.context.replica.loaded || !this.context.table.typesKnown) return this.answers.busy(id, NOT_READY);
-    if (!this.context.storeOk(now)) return this.answers.busy(id, STATE_UNANSWERED);
+    const unready = this.context.table.typesKnown ? this.answers.unready(now) : NOT_READY;
+    if (unready) return this.answers.busy(id, unready);
     if (this.context.table.jobs.has(spec.id)) return this.known(id, spec.id, now);
     if (this.refusal(parsed)) return this.confirmRefusal(id, parsed, now, wall);
     this.accept(id, parsed, wall, now + REQUEST_MS);
@@ -49,18 +49,13 @@
   private confirmRefusal(id: number, submission: Submission, now: Ms, wall: number): void {
     const { spec } = submission;
     const until = now + REQUEST_MS;
-    this.context.afterBarrier(
-      now,
-      () => {
-        const state = statusOf(this.context, spec.id);
-        const refusal = this.refusal(submission);
-        if (state) this.answers.answer(id, 200, jobAnswer(spec.id, state));
-        else if (refusal) this.answers.answer(id, 422, { error: refusal });
-        else this.accept(id, submission, wall, until);
-      },
-      until,
-      () => this.answers.busy(id, STATE_UNANSWERED),
-    );
+    this.answers.afterBarrier(id, now, until, () => {
+      const state = statusOf(this.context, spec.id);
+      const refusal = this.refusal(submission);
+      if (state) this.answers.answer(id, 200, jobAnswer(spec.id, state));
+      else if (refusal) this.answers.answer(id, 422, { error: refusal });
+      else this.accept(id, submission, wall, until);
+    });
   }
 
   /** Stores the job, and answers once it is stored. */
@@ -141,12 +136,7 @@
 
   /** Accepted before: answered with its status after a reading that is newer than the request. */
   private known(id: number, job: string, now: Ms): void {
-    this.context.afterBarrier(
-      now,
-      () => this.acceptedElsewhere(id, job),
-      now + REQUEST_MS,
-      () => this.answers.busy(id, STATE_UNANSWERED),
-    );
+    this.answers.afterBarrier(id, now, now + REQUEST_MS, () => this.acceptedElsewhere(id, job));
   }
 
   private acceptedElsewhere(id: number, job: string): void {
--- a/packages/core/src/table.ts
+++ b/packages/core/src/table.ts
@@ -12,7 +12,7 @@
 /** Most images of a machine that are stored. */
 const MOST_IMAGES = 30;
 
-const TYPES_PARTS = 'a/types/';
+const TYPES_PARTS = `${KEY.types}/`;
 
 /** Spreads teams over the shares, largest guarantees first, onto the share with the least. */
 export function teamShares(s: CoreSettings): number[] {
--- a/packages/core/src/user-answers.ts
+++ b/packages/core/src/user-answers.ts
@@ -76,6 +76,11 @@
     return end;
   }
 
+  /** Runs once a reading newer than `now` is in; if none is by `until`, the request is refused. */
+  afterBarrier(id: number, now: Ms, until: Ms, run: () => void): void {
+    this.context.afterBarrier(now, run, until, () => this.busy(id, STATE_UNANSWERED));
+  }
+
   private expire(at: Ms, run: () => void): void {
     let i = this.deadlines.length;
     while (i > 0 && (this.deadlines[i - 1] as Deadline).at > at) i--;
--- a/packages/core/src/worker-routing.ts
+++ b/packages/core/src/worker-routing.ts
@@ -4,7 +4,7 @@
  */
 import type { Report } from '@archpost/wire';
 import type { Context } from './context.js';
-import type { Ms } from './model.js';
+import { type Ms, NEVER } from './model.js';
 
 /** A controller that answers so many workers is known to be reached by them. */
 const HEARS_WORKERS = 3;
@@ -18,8 +18,6 @@
 /** A worker that was answered within so many report intervals reports here. */
 const SERVED_INTERVALS = 2;
 
-const NEVER: Ms = -1e12;
-
 export class WorkerRouting {
   /** when each worker was last answered here */
   private readonly served = new Map<string, Ms>();
--- a/packages/core/src/writer.ts
+++ b/packages/core/src/writer.ts
@@ -1,5 +1,5 @@
 import { isDeepStrictEqual } from 'node:util';
-import type { Guard, Write } from '@archpost/wire';
+import type { Guard, TxnOutcome, Write } from '@archpost/wire';
 import type { Effect, Ms } from './model.js';
 import type { Replica } from './replica.js';
 import { encodedBytes, type StateSizes } from './state-limits.js';
@@ -199,20 +199,7 @@
     for (const w of over) w.done('dropped', 0);
   }
 
-  result(
-    id: number,
-    r:
-      | { kind: 'ok'; revision: number }
-      | { kind: 'failed'; keys: string[] }
-      | { kind: 'refused' }
-      /** there were too many requests or changes */
-      | { kind: 'limited' }
-      | { kind: 'noLease' }
-      /** it can't be taken as it is: too large, say */
-      | { kind: 'invalid' }
-      | { kind: 'unknown' },
-    now: Ms,
-  ): void {
+  result(id: number, r: TxnOutcome, now: Ms): void {
     const sent = this.inflight.get(id);
     if (!sent) return;
     const { batch, lease } = sent;
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -1,5 +1,5 @@
 import { Budget, Client, sleep, steady } from '@archpost/transport';
-import type { Change, Guard, Row, Write } from '@archpost/wire';
+import type { Change, Guard, Row, TxnOutcome, Write } from '@archpost/wire';
 import {
   isNoLease,
   leaseBody,
@@ -15,16 +15,6 @@
 } from '@archpost/wire';
 import { Subject } from 'rxjs';
 
-export type TxnOutcome =
-  | { kind: 'ok'; revision: number }
-  | { kind: 'failed'; keys: string[] }
-  | { kind: 'refused' }
-  /** more requests or changes than the service takes */
-  | { kind: 'limited' }
-  | { kind: 'noLease' }
-  | { kind: 'invalid' }
-  | { kind: 'unknown' };
-
 export interface StateEvents {
   loaded: { rows: Row[]; revision: number };
   changes: { changes: Change[]; revision: number; asOf: number };
--- a/packages/wire/src/state.ts
+++ b/packages/wire/src/state.ts
@@ -6,6 +6,22 @@
 }
 export type Write = { put: string; value: unknown; lease?: number } | { del: string };
 
+/** What became of a transaction. */
+export type TxnOutcome =
+  | { kind: 'ok'; revision: number }
+  /** its conditions on these keys did not hold */
+  | { kind: 'failed'; keys: string[] }
+  /** not carried out: the service does not serve this controller now */
+  | { kind: 'refused' }
+  /** not carried out: more requests or changes than the service takes */
+  | { kind: 'limited' }
+  /** the lease that it names has ended */
+  | { kind: 'noLease' }
+  /** it can't be taken as it is: too large, say */
+  | { kind: 'invalid' }
+  /** no answer: it may have been carried out, or be carried out yet */
+  | { kind: 'unknown' };
+
 export const txnBody = (guards: Guard[], writes: Write[]) => ({
   guards: guards.map((g) => ({ k: g.key, stamp: g.stamp })),
   writes: writes.map((w) =>
