A start is made in one place, a job enters the table one way, a failed input costs no other

- A start on its way when its job's cancellation was read, which then came back unsent ("refused": no connection within 2.5 s; "stale": another session), was sent again: the task began after its user had been told (run-a/0 and run-a/1 started 2.6 s later).
A gang that had failed meanwhile kept its room for ever.
Work.unsend frees it, and a start is made by startCommand alone, which looks at the job as the command leaves.
- A job whose early progress couldn't be read was in the table without what it awaits, and could start too early; the same by Reports.adopt, which made jobs beside the table.
JobTable.enter is the only way in now, with everything that the record says; progress is read before it is kept.
- An exception in one input threw away all that waited with it, and one in a batch of changes the rest of the batch, which is never read again: a cancellation, an end or a job would be missing here for good.
Each is taken by itself.
- The time of a cancellation counted anew when a new holder found the work: jobs that are over leave the table of all but their owner, and adopt began at its own time.
It is kept now.

The judge of the stand-ins is a module of its own (test/cluster/rules.ts), sees `orphaned`, and counts cancellations through chains; a planted fault each proves that it sees the rule broken.

--- a/packages/core/src/commands.ts
+++ b/packages/core/src/commands.ts
@@ -24,6 +24,16 @@
   return Math.min(a.lostCount, 1) - Math.min(b.lostCount, 1) || b.bearsRank - a.bearsRank || a.lastAskAt - b.lastAskAt;
 }
 
+/**
+ * The only place where a start is made, as the command leaves: whatever was true when it was planned, its job must be
+ * one that runs, with nothing left to await, and the task not one that was told to stop meanwhile.
+ */
+function startCommand(p: Placement): Command | null {
+  const { job } = p;
+  if (job.state !== 'live' || job.waits || p.stop !== null) return null;
+  return { op: 'start', job: job.spec.id, index: p.index, attempt: p.attempt };
+}
+
 /** Commands to workers: what is sent, and what its outcome means. */
 export class Commands {
   private readonly sent = new Map<
@@ -102,8 +112,10 @@
       for (const p of m.placements.values()) {
         if (p.phase !== 'planned' || cmds.length > 60 || this.work.unconfirmed(p.job)) continue;
         if (p.job.spec.shape === 'gang' ? !this.gangReady(p.job) : !fits(p.job.need, free)) continue;
+        const start = startCommand(p);
+        if (start === null) continue;
         take(free, p.job.need);
-        cmds.push({ op: 'start', job: p.job.spec.id, index: p.index, attempt: p.attempt });
+        cmds.push(start);
         started.push(p);
       }
     }
@@ -208,7 +220,7 @@
       return;
     }
     if (r.kind === 'stale') {
-      for (const p of c.sent) if (p.phase === 'sent') p.phase = 'planned';
+      for (const p of c.sent) this.work.unsend(p);
       if (r.report) {
         this.reports.observe(m, r.report, now, c.seen);
         if (r.report.token > this.context.table.token(m)) m.retryAt = now + 1000;
@@ -217,7 +229,7 @@
     }
     m.retryAt = now + 700;
     if (r.kind === 'refused') {
-      for (const p of c.sent) if (p.phase === 'sent') p.phase = 'planned';
+      for (const p of c.sent) this.work.unsend(p);
       for (const p of m.placements.values()) p.stopSentAt = -1e12;
       return;
     }
--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -62,7 +62,10 @@
   ) {
     this.table = new Table(settings);
     this.changeRate = new ChangeRate(settings.state);
-    this.replica = new Replica((key, entry) => this.keyChanged(key, entry));
+    this.replica = new Replica(
+      (key, entry) => this.keyChanged(key, entry),
+      (key, error) => this.log('warn', 'a change could not be taken', { key, error: String(error) }),
+    );
     const share = 0.95 / Math.max(1, settings.nodes.length);
     this.writer = new Writer(
       { writesPerS: Math.max(1, settings.state.writeRps * share), ...this.table.sizes },
--- a/packages/core/src/dependencies.ts
+++ b/packages/core/src/dependencies.ts
@@ -36,7 +36,7 @@
     private readonly finals: Map<string, FinalState>,
   ) {}
 
-  /** Adds edges to a job that is in the table. Returns what is cancelled: the job itself, and those that need it. */
+  /** Adds edges to a job. Returns what is cancelled: the job itself, and those that need it. */
   add(job: Job, awaits: readonly string[]): Job[] {
     for (const id of awaits) {
       const final = this.finals.get(id);
@@ -96,6 +96,8 @@
       const waiting = this.dependents.get(id) ?? [];
       this.dependents.delete(id);
       for (const job of waiting) {
+        // What is over has no edges; were one left, nothing that is over would become anything else.
+        if (job.state !== 'live') continue;
         this.markCancelled(job);
         cancelled.push(job);
         ids.push(job.spec.id);
--- a/packages/core/src/job-table.ts
+++ b/packages/core/src/job-table.ts
@@ -6,7 +6,7 @@
 import { Dependencies } from './dependencies.js';
 import { type FinalState, type JobPart, parseJobPart, parseJobRecord, type StoredJob } from './job-record.js';
 import type { Job, Ms } from './model.js';
-import { type ProgressLayout, unpackBits } from './progress-layout.js';
+import type { ProgressLayout, StoredProgress } from './progress-layout.js';
 import type { Entry } from './replica.js';
 
 /** What a key of a job changes. */
@@ -40,7 +40,9 @@
   private readonly incomplete = new Map<string, Incomplete>();
   /** parts and progress that were read before the job's record */
   private readonly earlyParts = new Map<string, Map<number, JobPart>>();
-  private readonly earlyProgress = new Map<string, Map<string, unknown>>();
+  private readonly earlyProgress = new Map<string, Map<string, StoredProgress>>();
+  /** when each cancellation was first read here, also of jobs that have left the table */
+  private readonly cancellationReadAt = new Map<string, Ms>();
 
   constructor(
     private readonly makeJob: (spec: JobSpec) => Job,
@@ -59,24 +61,46 @@
     const known = this.jobs.get(id);
     // Of a finished job nothing is left to do; of a cancelled one there may be tasks to stop.
     if (!known && (stored.spec === null || stored.state === 'done')) return { jobs: others };
-    const job = known ?? this.addJob(stored.spec as JobSpec, stored.submittedAt, now);
+    const job = known ?? this.enter(stored.spec as JobSpec, stored, now, others);
     job.stamp = entry.stamp;
     if (stored.state !== 'live') {
       job.state = stored.state;
       this.dependencies.unlink(job);
-    } else if (!known) others.push(...this.applyLists(job, stored, now));
+    }
     if (!known && !job.waits) this.startable(job);
-    this.noteCancelled(job, now);
+    for (const other of [job, ...others]) this.noteCancelled(other, now);
     const jobs = [job, ...others.filter((other) => other !== job)];
     return stored.awaits === null ? { jobs, unreadable: 'the list of awaited jobs' } : { jobs };
   }
 
-  private addJob(spec: JobSpec, submittedAt: Ms, now: Ms): Job {
+  /**
+   * The job that a machine names. One that has left the table comes back by its record, as it did first; null if
+   * there is none to run or to stop.
+   */
+  recall(id: string, entry: Entry | null, now: Ms): Job | null {
+    const known = this.jobs.get(id);
+    if (known || !entry) return known ?? null;
+    try {
+      this.applyRecord(id, entry, now);
+    } catch {
+      // It was logged when it was read first; what it bears is stopped like anything unknown.
+    }
+    return this.jobs.get(id) ?? null;
+  }
+
+  /**
+   * The only way into the table. The job is in it only once all that its record says is known of it: what it
+   * awaits, and whether it is over. What is cancelled by that is added to `others`.
+   */
+  private enter(spec: JobSpec, stored: StoredJob, now: Ms, others: Job[]): Job {
     const job = this.makeJob(spec);
     job.arrivedAt = now;
-    job.setSubmitted(submittedAt);
+    job.setSubmitted(stored.submittedAt);
+    const final = this.finals.get(spec.id);
+    if (final) job.state = final;
+    else others.push(...this.applyLists(job, stored, now));
     this.jobs.set(spec.id, job);
-    for (const [part, digits] of this.earlyProgress.get(spec.id) ?? []) this.mergeProgress(job, part, digits);
+    for (const progress of this.earlyProgress.get(spec.id)?.values() ?? []) this.mergeProgress(job, progress);
     this.earlyProgress.delete(spec.id);
     return job;
   }
@@ -102,8 +126,12 @@
     job.arrivedAt = job.readyAt > 0 ? Math.min(now, job.readyAt - this.wallOffset) : now;
   }
 
+  /** Its time to be gone counts from the first reading of its cancellation, whoever finds a task of it later. */
   private noteCancelled(job: Job, now: Ms): void {
-    if (job.state === 'cancelled' && job.cancelledAt < 0) job.cancelledAt = now;
+    if (job.state !== 'cancelled') return;
+    const readAt = this.cancellationReadAt.get(job.spec.id) ?? now;
+    this.cancellationReadAt.set(job.spec.id, readAt);
+    job.cancelledAt = readAt;
   }
 
   // ---- lists of awaited jobs and machine types
@@ -174,27 +202,27 @@
     const cut = key.lastIndexOf('/');
     const id = key.slice(0, cut);
     const part = key.slice(cut + 1);
+    // Read before it is kept: what can't be read must not keep the job's record from being read.
+    const progress = this.progress.parse(part, entry.value);
     const job = this.jobs.get(id);
     if (job) {
-      this.mergeProgress(job, part, entry.value);
+      this.mergeProgress(job, progress);
       return { jobs: [job] };
     }
     if (this.finals.has(id)) return NOTHING;
-    const early = this.earlyProgress.get(id) ?? new Map<string, unknown>();
-    this.earlyProgress.set(id, early.set(part, entry.value));
+    const early = this.earlyProgress.get(id) ?? new Map<string, StoredProgress>();
+    this.earlyProgress.set(id, early.set(part, progress));
     return NOTHING;
   }
 
-  private mergeProgress(job: Job, part: string, digits: unknown): void {
-    const from = this.progress.firstTask(part);
-    if (from === null) throw new Error('not a part of progress');
-    unpackBits(digits, from, (task) => {
-      if (task >= job.spec.tasks) return;
+  private mergeProgress(job: Job, progress: StoredProgress): void {
+    for (const task of progress) {
+      if (task >= job.spec.tasks) continue;
       job.stored[task] = 1;
-      if (job.done[task]) return;
+      if (job.done[task]) continue;
       job.done[task] = 1;
       job.doneCount++;
-    });
+    }
   }
 
   // ---- leaving
--- a/packages/core/src/progress-layout.ts
+++ b/packages/core/src/progress-layout.ts
@@ -20,6 +20,9 @@
 /** Bytes of a progress change that are not digits: the longest key, and the quotes around the value. */
 const OVERHEAD_BYTES = 128;
 
+/** The tasks that one stored key tells are done, read when they are asked for. */
+export type StoredProgress = Iterable<number>;
+
 /** Tasks whose completion one key holds. */
 export interface ProgressPart {
   /** the last element of the key */
@@ -84,6 +87,13 @@
     const first = Math.round(position * this.chunkDigits) * TASKS_PER_DIGIT;
     return Number.isSafeInteger(first) ? first : null;
   }
+
+  /** Throws on what is no part of progress. */
+  parse(name: string, digits: unknown): StoredProgress {
+    const from = this.firstTask(name);
+    if (from === null || !isDigits(digits)) throw new Error('not a part of progress');
+    return doneTasks(digits, from);
+  }
 }
 
 /** The digits for the tasks `from` to `to`; a task that isn't 0 in `bits` is done. */
@@ -97,11 +107,18 @@
   return out;
 }
 
-/** Calls `done` for each task that the digits tell is done. Anything that is no text of digits is an error. */
-export function unpackBits(digits: unknown, from: number, done: (task: number) => void): void {
-  if (typeof digits !== 'string' || !/^[0-9a-f]*$/.test(digits)) throw new Error('not progress');
-  for (let i = 0; i < digits.length; i++) {
-    const digit = Number.parseInt(digits[i] as string, 16);
-    for (let b = 0; b < TASKS_PER_DIGIT; b++) if (digit & (1 << b)) done(from + i * TASKS_PER_DIGIT + b);
-  }
+function isDigits(value: unknown): value is string {
+  return typeof value === 'string' && /^[0-9a-f]*$/.test(value);
+}
+
+/** The tasks that the digits tell are done; it can be gone through again. */
+function doneTasks(digits: string, from: number): StoredProgress {
+  return {
+    *[Symbol.iterator]() {
+      for (let i = 0; i < digits.length; i++) {
+        const digit = Number.parseInt(digits[i] as string, 16);
+        for (let b = 0; b < TASKS_PER_DIGIT; b++) if (digit & (1 << b)) yield from + i * TASKS_PER_DIGIT + b;
+      }
+    },
+  };
 }
--- a/packages/core/src/replica.ts
+++ b/packages/core/src/replica.ts
@@ -5,6 +5,7 @@
   stamp: number;
 }
 type Listener = (key: string, entry: Entry | null) => void;
+type FailureListener = (key: string, error: unknown) => void;
 
 /**
  * A copy of the state service's keys. Changes may come twice and from two readers at once
@@ -18,7 +19,10 @@
   revision = 0;
   loaded = false;
 
-  constructor(private readonly listener: Listener) {}
+  constructor(
+    private readonly listener: Listener,
+    private readonly failed: FailureListener,
+  ) {}
 
   get(key: string): Entry | null {
     return this.entries.get(key) ?? null;
@@ -34,7 +38,7 @@
     const entry = { value, stamp };
     this.entries.set(key, entry);
     this.tombs.delete(key);
-    this.listener(key, entry);
+    this.tell(key, entry);
   }
 
   remove(key: string, stamp: number): void {
@@ -43,7 +47,16 @@
     if (stamp > this.revision) this.tombs.set(key, stamp);
     if (!old) return;
     this.entries.delete(key);
-    this.listener(key, null);
+    this.tell(key, null);
+  }
+
+  /** What can't be made of one change must not keep those that come with it from being taken: they come once. */
+  private tell(key: string, entry: Entry | null): void {
+    try {
+      this.listener(key, entry);
+    } catch (error) {
+      this.failed(key, error);
+    }
   }
 
   apply(changes: Change[], revision: number): void {
--- a/packages/core/src/reports.ts
+++ b/packages/core/src/reports.ts
@@ -1,7 +1,6 @@
 import type { PeerHeard, Report, TaskReport } from '@archpost/wire';
 import type { Context } from './context.js';
-import { readJobRecord } from './job-record.js';
-import type { Machine, Ms, Placement } from './model.js';
+import { type Machine, type Ms, type Placement, TOP_RANK } from './model.js';
 import type { Records } from './records.js';
 import { KEY } from './state-keys.js';
 import { taskKey, type Work } from './work.js';
@@ -10,6 +9,8 @@
 const MESSAGES_PER_S = 10;
 const MESSAGES_AT_ONCE = 200;
 
+const ABOVE_ALL_RANKS = TOP_RANK + 1;
+
 /** What workers say, taken for what it is worth. */
 export class Reports {
   constructor(
@@ -38,7 +39,7 @@
       // Which session to ask is all that can be learned from it.
       if (r.session > m.session) m.session = r.session;
       // ... and, for what it is worth, how urgent its answer is.
-      for (const t of r.tasks) m.bearsRank = Math.max(m.bearsRank, this.context.table.jobs.get(t.job)?.rank ?? -1);
+      for (const t of r.tasks) m.bearsRank = Math.max(m.bearsRank, this.urgencyOf(t.job));
       return;
     } else if (older(m)) {
       // A late copy, or a machine that began again: its answer will tell.
@@ -93,6 +94,12 @@
     }
   }
 
+  /** How urgent it is to learn of a job's task: what is cancelled has to be gone in time. */
+  private urgencyOf(id: string): number {
+    const { finals, jobs } = this.context.table;
+    return finals.get(id) === 'cancelled' ? ABOVE_ALL_RANKS : (jobs.get(id)?.rank ?? -1);
+  }
+
   /** More than a worker can have said since it was last heard. */
   private implausible(m: Machine, seq: number, now: Ms): boolean {
     return m.seq >= 0 && seq - m.seq > MESSAGES_AT_ONCE + (MESSAGES_PER_S * (now - m.heardAt)) / 1000;
@@ -128,17 +135,8 @@
 
   /** A task found on a machine that we have no record of: an earlier holder's work. */
   private adopt(m: Machine, t: TaskReport, now: Ms): Placement | null {
-    let job = this.context.table.jobs.get(t.job);
-    if (!job) {
-      const record = this.context.replica.get(KEY.job(t.job));
-      const spec = record && readJobRecord(record.value)?.spec;
-      if (!spec) return null;
-      job = this.context.table.makeJob(spec);
-      job.state = this.context.table.finals.get(t.job) ?? 'live';
-      if (job.state === 'cancelled') job.cancelledAt = now;
-      job.stamp = record.stamp;
-      this.context.table.jobs.set(t.job, job);
-    }
+    const job = this.context.table.recall(t.job, this.context.replica.get(KEY.job(t.job)), now);
+    if (!job) return null;
     if (job.share !== m.share || t.index >= job.spec.tasks) return null;
     if (job.placements.has(t.index)) {
       const other = job.placements.get(t.index) as Placement;
--- a/packages/core/src/table.ts
+++ b/packages/core/src/table.ts
@@ -95,7 +95,12 @@
     this.jobTable.wallOffset = ms;
   }
 
-  makeJob(spec: JobSpec): Job {
+  /** The job that a machine names, by its record if it has left the table; null if there is none to run or to stop. */
+  recall(id: string, record: Entry | null, now: Ms): Job | null {
+    return this.jobTable.recall(id, record, now);
+  }
+
+  private makeJob(spec: JobSpec): Job {
     const team = this.teamNames.find(spec.team);
     return new Job(
       spec,
--- a/packages/core/src/work.ts
+++ b/packages/core/src/work.ts
@@ -92,6 +92,23 @@
     this.wantPlan = true;
   }
 
+  /**
+   * A start that surely was not carried out: its room is held on, unless the task was told to stop meanwhile or its job
+   * is over. Such a start was sent again after the job's cancellation, and a gang that had failed kept its room for ever.
+   */
+  unsend(p: Placement): void {
+    const key = taskKey(p.job.spec.id, p.index, p.attempt);
+    if (p.phase !== 'sent' || p.machine.placements.get(key) !== p) return;
+    p.phase = 'planned';
+    if (p.stop !== null || p.job.state !== 'live') this.free(p);
+  }
+
+  /** Something on it belongs to a cancelled job: it is attended to first. */
+  bearsCancelled(m: Machine): boolean {
+    for (const p of m.placements.values()) if (p.job.state === 'cancelled' && p.phase !== 'exited') return true;
+    return false;
+  }
+
   /** A gang that lost a task is stopped whole and queued again. */
   failGang(j: Job): void {
     if (j.gangFailed) return;
--- a/packages/server/src/inbox.ts
+++ b/packages/server/src/inbox.ts
@@ -7,6 +7,19 @@
 /** So long between two inputs: this process stood still, or had no processor. */
 export const PAUSE_MS = 800;
 
+/** What an inbox tells, and by which clock. */
+export interface InboxOptions {
+  clock: () => number;
+  /** called after what waited was taken */
+  afterEach: () => void;
+  /** a user's request older than this is refused rather than carried out late */
+  staleMs: number;
+  /** this process stood still: told before anything else is taken */
+  paused?: (ms: number) => void;
+  /** an input could not be taken; the others are */
+  failed: (error: unknown) => void;
+}
+
 /** Users' requests, and then questions, that are taken before looking for anything more urgent. */
 const AT_ONCE = 4;
 
@@ -23,15 +36,8 @@
   /** inputs taken since the last look, by rank, and requests refused for their age */
   private taken = { reports: 0, decisions: 0, requests: 0, questions: 0, refused: 0 };
 
-  constructor(
-    private readonly clock: () => number,
-    private readonly afterEach: () => void,
-    /** a user's request older than this is refused rather than carried out late */
-    private readonly staleMs: number,
-    /** this process stood still: told before anything else is taken */
-    private readonly paused: (ms: number) => void = () => {},
-  ) {
-    this.last = clock();
+  constructor(private readonly options: InboxOptions) {
+    this.last = options.clock();
   }
 
   report(run: () => void): void {
@@ -45,12 +51,12 @@
   }
 
   request(run: () => void, refuse: () => void): void {
-    this.ranks[2].push({ at: this.clock(), run, refuse });
+    this.ranks[2].push({ at: this.options.clock(), run, refuse });
     this.wake();
   }
 
   question(run: () => void, refuse: () => void): void {
-    this.ranks[3].push({ at: this.clock(), run, refuse });
+    this.ranks[3].push({ at: this.options.clock(), run, refuse });
     this.wake();
   }
 
@@ -77,35 +83,45 @@
       this.ranks[rank] = [];
       for (const run of list) {
         this.look();
-        run();
+        this.take(run);
       }
     }
     const now = this.look();
     for (const r of this.ranks[2].splice(0, AT_ONCE)) this.serve(r, now, 'requests');
     if (this.ranks[2].length === 0) for (const r of this.ranks[3].splice(0, AT_ONCE)) this.serve(r, now, 'questions');
-    this.afterEach();
+    this.options.afterEach();
     if (this.ranks.some((l) => l.length > 0)) this.wake();
   }
+
+  /** One that fails must not cost those that wait behind it: what they bring comes once. */
+  private take(run: () => void): void {
+    try {
+      run();
+    } catch (error) {
+      this.options.failed(error);
+    }
+  }
+
   /**
    * A timer wakes this every tenth of a second. Where far more time has passed, the process
    * stood still, and whatever comes first afterwards (a timer, a report, an answer) must find
    * its times put in order.
    */
   private look(): number {
-    const now = this.clock();
+    const now = this.options.clock();
     const gap = now - this.last;
     this.last = now;
-    if (gap > PAUSE_MS) this.paused(gap);
+    if (gap > PAUSE_MS) this.options.paused?.(gap);
     return now;
   }
 
   private serve(r: Waiting, now: number, rank: 'requests' | 'questions'): void {
-    if (now - r.at > this.staleMs) {
+    if (now - r.at > this.options.staleMs) {
       this.taken.refused++;
       r.refuse();
     } else {
       this.taken[rank]++;
-      r.run();
+      this.take(r.run);
     }
   }
 }
--- a/packages/server/src/service.ts
+++ b/packages/server/src/service.ts
@@ -31,15 +31,16 @@
     const c = settings.core;
     const nodes = c.nodes.length;
     this.core = new Core(c, randomUUID().slice(0, 8));
-    this.inbox = new Inbox(
-      steady,
-      () => this.carryOut(),
-      1500,
-      (ms) => {
+    this.inbox = new Inbox({
+      clock: steady,
+      afterEach: () => this.carryOut(),
+      staleMs: 1500,
+      paused: (ms) => {
         this.carryOut(true);
         this.core.paused(ms, steady());
       },
-    );
+      failed: (err) => this.log.error({ err }, 'an input could not be taken'),
+    });
     // Half of the time a cancellation has: rides out outages, leaves time to take over.
     const ttlMs = Math.round(Math.min(600, Math.max(1, c.workers.cancelS / 2)) * 1000);
     this.store = new StateStore(
--- a/test/cluster/cluster.ts
+++ b/test/cluster/cluster.ts
@@ -4,7 +4,7 @@
 import type { CoreSettings, Effect } from '@archpost/core';
 import type { JobSpec, Listed, Report } from '@archpost/wire';
 import { Node } from './controller.js';
-import { settings } from './fixtures.js';
+import { Rules } from './rules.js';
 import { StateStandIn } from './state-service.js';
 import { WorkerStandIn } from './worker.js';
 
@@ -20,6 +20,7 @@
   readonly awaits = new Map<string, string[]>();
   readonly cancelledAt = new Map<string, number>();
   readonly finished = new Set<string>();
+  readonly rules = new Rules(this);
   /** jobs submitted with a mistake: their tasks fail wherever they start */
   readonly mistaken = new Set<string>();
   stateDown = false;
@@ -34,6 +35,8 @@
   deaf: (node: string, machine: string) => boolean = () => false;
   /** true if direct commands to it are lost, while its reports are answered */
   commandsLost: (node: string, machine: string) => boolean = () => false;
+  /** true if no connection to the machine can be opened: a direct command never leaves */
+  commandsRefused: (node: string, machine: string) => boolean = () => false;
   /** true if what the first controller tells the second is lost, though not the other way round */
   unheard: (from: string, to: string) => boolean = () => false;
   /** true if it comes late */
@@ -143,7 +146,7 @@
       else this.state.expire(this.now);
       for (const w of this.workers) w.tick();
       for (const n of this.nodes) n.tick();
-      this.check();
+      this.rules.checkStep();
     }
   }
 
@@ -173,7 +176,7 @@
       told = String(body.status ?? body.error);
     });
     this.until(`${id} cancelled`, () => told !== '', 6);
-    if (told === 'aborted') this.cancelledAt.set(id, this.now);
+    this.rules.told(id, told);
     this.note(`user told ${told} for ${id}`);
   }
 
@@ -184,6 +187,7 @@
       said = code === 200 ? String(body.status) : String(code);
     });
     this.until(`${id} answered`, () => said !== '', 6);
+    this.rules.told(id, said);
     return said;
   }
 
@@ -213,48 +217,6 @@
     return spec.shape === 'gang' ? done.some((x) => x) : done.every((x) => x);
   }
 
-  /** ran_twice, wrong_place and too_early, at the moment of each start. */
-  started(w: WorkerStandIn, id: string, index: number): void {
-    const spec = this.specs.get(id) as JobSpec;
-    for (const other of this.awaits.get(id) ?? [])
-      if (!this.allDone(other)) this.broken(`too_early: ${id}/${index} starts before ${other} is done`);
-    const live = this.workers.filter((x) => !x.dead);
-    for (const x of live) {
-      for (const t of x.tasks.values()) {
-        if (t.job !== id || t.state === 'exited') continue;
-        if (t.index === index) this.broken(`ran_twice: ${id}/${index} on ${x.name} and ${w.name}`);
-        if (spec.oneZone && x.zone !== w.zone) this.broken(`wrong_place: ${id} in two zones`);
-      }
-    }
-    const inZone = live.reduce(
-      (n, x) => n + (x.zone === w.zone ? [...x.tasks.values()].filter((t) => t.job === id && t.state !== 'exited').length : 0),
-      0,
-    );
-    if (spec.spread && inZone >= Math.ceil(spec.tasks / 2)) this.broken(`wrong_place: ${id} not spread`);
-    if (spec.zone !== null && spec.zone !== w.zone) this.broken(`wrong_place: ${id} in ${w.zone}`);
-    if (spec.types !== null && !spec.types.includes(w.type)) this.broken(`wrong_place: ${id} on a ${w.type}`);
-    if (w.spot && !spec.spot) this.broken(`wrong_place: ${id} on a spot machine`);
-    const told = this.cancelledAt.get(id);
-    if (told !== undefined && this.now - told > 36_000) this.broken(`ran_cancelled: ${id} starts`);
-  }
-
-  private check(): void {
-    const use = new Map<string, number>();
-    for (const w of this.workers) {
-      if (w.dead) continue;
-      for (const t of w.tasks.values()) {
-        if (t.state === 'exited') continue;
-        const spec = this.specs.get(t.job) as JobSpec;
-        use.set(spec.team, (use.get(spec.team) ?? 0) + spec.gpus);
-        const told = this.cancelledAt.get(t.job);
-        if (told !== undefined && this.now - told > 36_000) this.broken(`ran_cancelled: ${t.job} on ${w.name}`);
-      }
-    }
-    for (const t of this.tune(settings('n0', this.names)).teams) {
-      if ((use.get(t.name) ?? 0) > t.gpusMax) this.broken(`quota: ${t.name}`);
-    }
-  }
-
   /** Controllers up, machines granted and answering. */
   settle(): void {
     this.until(
--- a/test/cluster/controller.ts
+++ b/test/cluster/controller.ts
@@ -182,6 +182,12 @@
       cluster.commands += 1 - question;
       this.asked += question;
       cluster.mostAsked = Math.max(cluster.mostAsked, this.asked);
+      if (cluster.commandsRefused(this.name, e.machine)) {
+        return later(2500, () => {
+          this.asked -= question;
+          core.commandResult(e.id, { kind: 'refused' }, cluster.now);
+        });
+      }
       const w = cluster.worker(e.machine);
       const astray = cluster.deaf(this.name, e.machine) || cluster.commandsLost(this.name, e.machine);
       if (!w || w.dead || w.hung || cluster.cut(this.name, e.machine) || astray) {
--- /dev/null
+++ b/test/cluster/rules.ts
@@ -0,0 +1,91 @@
+// The rules, judged from outside: by what workers run and what users were told, never by the core's own tables.
+import type { JobSpec } from '@archpost/wire';
+import type { Cluster } from './cluster.js';
+import { settings } from './fixtures.js';
+import type { WorkerStandIn } from './worker.js';
+
+/** Time that a cancellation has, as in the settings of the stand-ins. */
+const CANCEL_MS = settings('n0').workers.cancelS * 1000;
+
+/** PROTOCOL's rules, and those that LATER.md adds for jobs that await others. */
+export class Rules {
+  /** when a user was first told that the job is done */
+  private readonly doneAt = new Map<string, number>();
+
+  constructor(private readonly cluster: Cluster) {}
+
+  /** `ran_twice`, `wrong_place`, `too_early` and `ran_cancelled`, at the moment of each start. */
+  checkStart(worker: WorkerStandIn, id: string, index: number): void {
+    const { cluster } = this;
+    const spec = cluster.specs.get(id) as JobSpec;
+    for (const other of cluster.awaits.get(id) ?? [])
+      if (!cluster.allDone(other)) cluster.broken(`too_early: ${id}/${index} starts before ${other} is done`);
+    this.checkPlace(worker, spec, index);
+    if (this.isOverdue(this.cancelledAt(id))) cluster.broken(`ran_cancelled: ${id} starts`);
+  }
+
+  private checkPlace(worker: WorkerStandIn, spec: JobSpec, index: number): void {
+    const { cluster } = this;
+    let inZone = 0;
+    for (const other of cluster.workers) {
+      if (other.dead) continue;
+      for (const task of other.tasks.values()) {
+        if (task.job !== spec.id || task.state === 'exited') continue;
+        if (task.index === index) cluster.broken(`ran_twice: ${spec.id}/${index} on ${other.name} and ${worker.name}`);
+        if (spec.oneZone && other.zone !== worker.zone) cluster.broken(`wrong_place: ${spec.id} in two zones`);
+        if (other.zone === worker.zone) inZone++;
+      }
+    }
+    if (spec.spread && inZone >= Math.ceil(spec.tasks / 2)) cluster.broken(`wrong_place: ${spec.id} not spread`);
+    if (spec.zone !== null && spec.zone !== worker.zone) cluster.broken(`wrong_place: ${spec.id} in ${worker.zone}`);
+    if (spec.types !== null && !spec.types.includes(worker.type)) cluster.broken(`wrong_place: ${spec.id} on a ${worker.type}`);
+    if (worker.spot && !spec.spot) cluster.broken(`wrong_place: ${spec.id} on a spot machine`);
+  }
+
+  /** `quota`, `ran_cancelled` and `orphaned`, by what is on the machines now. */
+  checkStep(): void {
+    const { cluster } = this;
+    const use = new Map<string, number>();
+    for (const worker of cluster.workers) {
+      if (worker.dead) continue;
+      for (const task of worker.tasks.values()) {
+        if (task.state === 'exited') continue;
+        const spec = cluster.specs.get(task.job) as JobSpec;
+        use.set(spec.team, (use.get(spec.team) ?? 0) + spec.gpus);
+        if (this.isOverdue(this.cancelledAt(task.job))) cluster.broken(`ran_cancelled: ${task.job} on ${worker.name}`);
+        if (this.isOverdue(this.doneAt.get(task.job)))
+          cluster.broken(`orphaned: ${task.job}/${task.index} runs on, it was told done`);
+      }
+    }
+    for (const team of cluster.tune(settings('n0', cluster.names)).teams)
+      if ((use.get(team.name) ?? 0) > team.gpusMax) cluster.broken(`quota: ${team.name}`);
+  }
+
+  /** A user was told this of the job. `orphaned`: it goes on though one that it needs was told to be cancelled. */
+  told(id: string, status: string): void {
+    const { cluster } = this;
+    if (status === 'aborted' && !cluster.cancelledAt.has(id)) cluster.cancelledAt.set(id, cluster.now);
+    if (status === 'done' && !this.doneAt.has(id)) this.doneAt.set(id, cluster.now);
+    if ((status === 'queued' || status === 'running') && this.isOverdue(this.cancelledAt(id)))
+      cluster.broken(`orphaned: ${id} is called ${status}, and one that it needs was cancelled`);
+  }
+
+  /** When a user was first told that the job, or one that it needs directly or through others, is cancelled. */
+  private cancelledAt(id: string): number | undefined {
+    let earliest = this.cluster.cancelledAt.get(id);
+    const seen = new Set([id]);
+    const open = [...(this.cluster.awaits.get(id) ?? [])];
+    for (let other = open.pop(); other !== undefined; other = open.pop()) {
+      if (seen.has(other)) continue;
+      seen.add(other);
+      const at = this.cluster.cancelledAt.get(other);
+      if (at !== undefined && (earliest === undefined || at < earliest)) earliest = at;
+      open.push(...(this.cluster.awaits.get(other) ?? []));
+    }
+    return earliest;
+  }
+
+  private isOverdue(since: number | undefined): boolean {
+    return since !== undefined && this.cluster.now - since > CANCEL_MS;
+  }
+}
--- a/test/cluster/state-service.ts
+++ b/test/cluster/state-service.ts
@@ -96,7 +96,9 @@
   }
 
   since(revision: number): Change[] {
-    return this.log.filter((c) => c.stamp > revision);
+    let first = this.log.length;
+    while (first > 0 && (this.log[first - 1] as Change).stamp > revision) first--;
+    return this.log.slice(first);
   }
 
   rows(): Row[] {
--- a/test/cluster/worker.ts
+++ b/test/cluster/worker.ts
@@ -87,7 +87,7 @@
         else if (sum((s) => s.cpus) > cap.cpus || sum((s) => s.gpus) > cap.gpus || sum((s) => s.memory) > cap.memory)
           this.tasks.set(key, { ...state, state: 'exited', why: 'no_room' });
         else {
-          this.cluster.started(this, c.job, c.index);
+          this.cluster.rules.checkStart(this, c.job, c.index);
           this.tasks.set(key, { ...state, state: spec.shape === 'gang' && spec.tasks > 1 ? 'waiting' : 'running', why: null });
           this.cluster.note(`${this.name} starts ${c.job}/${c.index}`);
         }
--- a/test/edges.test.ts
+++ b/test/edges.test.ts
@@ -82,11 +82,7 @@
 test('overload: reports first, then decisions, then users, and users who waited too long are refused', async () => {
   let now = 0;
   const seen: string[] = [];
-  const inbox = new Inbox(
-    () => now,
-    () => {},
-    1500,
-  );
+  const inbox = new Inbox({ clock: () => now, afterEach: () => {}, staleMs: 1500, failed: assert.ifError });
   inbox.request(
     () => seen.push('old user'),
     () => seen.push('old user refused'),
@@ -122,12 +118,13 @@
 test('after a pause of the process it is told of it first, whatever comes first, and questions come last', () => {
   let now = 0;
   const seen: string[] = [];
-  const inbox = new Inbox(
-    () => now,
-    () => {},
-    1500,
-    (ms) => seen.push(`stood still for ${ms}`),
-  );
+  const inbox = new Inbox({
+    clock: () => now,
+    afterEach: () => {},
+    staleMs: 1500,
+    paused: (ms) => seen.push(`stood still for ${ms}`),
+    failed: assert.ifError,
+  });
   inbox.question(
     () => seen.push('old question'),
     () => seen.push('old question refused'),
@@ -238,7 +235,7 @@
 });
 
 test('a write without an answer is sent again, and its own first copy is no conflict', () => {
-  const replica = new Replica(() => {});
+  const replica = new Replica(() => {}, assert.ifError);
   const sent: number[] = [];
   const outcomes: string[] = [];
   const writer = new Writer(
@@ -267,7 +264,7 @@
   let now = 0;
   const writer = new Writer(
     { writesPerS: 12, txnOps: 12, changeBytes: 8192 },
-    new Replica(() => {}),
+    new Replica(() => {}, assert.ifError),
     (e) => {
       if (e.t === 'txn') sent.push(e.writes.map((w) => ('put' in w ? w.put : w.del).slice(2, 3)));
     },
--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -16,7 +16,6 @@
   Replica,
   stateSizes,
   URGENCY,
-  unpackBits,
   Writer,
 } from '@archpost/core';
 import { isStatus, type JobSpec, type MachineType, type PeerStatus, type Row } from '@archpost/wire';
@@ -69,7 +68,7 @@
   const outcomes: string[] = [];
   const writer = new Writer(
     { writesPerS: 50, txnOps: 4, changeBytes: 100 },
-    new Replica(() => {}),
+    new Replica(() => {}, assert.ifError),
     (e) => {
       if (e.t === 'txn') sent.push(...e.writes.map((w) => ('put' in w ? w.put : w.del)));
     },
@@ -197,9 +196,9 @@
     next = part.to;
   }
   assert.equal(next, tasks);
-  const seen = new Set<number>();
-  unpackBits('8001', 4096, (task) => seen.add(task));
-  assert.deepEqual([...seen], [4099, 4108]);
+  assert.deepEqual([...layout.parse('0.125', '8001')], [4099, 4108]);
+  for (const digits of ['8g', 8, null]) assert.throws(() => layout.parse('0', digits));
+  assert.throws(() => layout.parse('odd', 'ff'));
   // What fits one value is stored as ever.
   assert.deepEqual(layout.parts(400), [{ name: '0', from: 0, to: 400 }]);
   assert.deepEqual(
--- /dev/null
+++ b/test/rules.test.ts
@@ -0,0 +1,202 @@
+// What broke a rule at production size, or could have: docs/meetings.md, "Rules that broke".
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Core, Replica } from '@archpost/core';
+import { Inbox } from '../packages/server/src/inbox.js';
+import { type Cluster, holderOf, job, settings, shareOf, smallCluster, type WorkerStandIn } from './stand-ins.js';
+
+/** Each of these breaks a rule on purpose: the judge of the stand-ins must see it. */
+const PLANTED: { rule: RegExp; plant: (c: Cluster, w: WorkerStandIn) => void }[] = [
+  {
+    rule: /too_early: run-b\/0 starts before run-a is done/,
+    plant: (_c, w) => w.obey([{ op: 'start', job: 'run-b', index: 0, attempt: 1 }]),
+  },
+  {
+    rule: /ran_cancelled: run-b on m0/,
+    plant: (c, w) => {
+      c.finished.add('run-a/0');
+      w.obey([{ op: 'start', job: 'run-b', index: 0, attempt: 1 }]);
+      c.finished.clear();
+      c.rules.told('run-a', 'aborted');
+      w.hung = true;
+      c.run(37);
+    },
+  },
+  {
+    rule: /ran_cancelled: run-a starts/,
+    plant: (c, w) => {
+      c.rules.told('run-a', 'aborted');
+      c.run(37);
+      w.obey([{ op: 'start', job: 'run-a', index: 0, attempt: 1 }]);
+    },
+  },
+  {
+    rule: /orphaned: run-b is called queued/,
+    plant: (c) => {
+      c.rules.told('run-a', 'aborted');
+      c.run(37);
+      c.rules.told('run-b', 'queued');
+    },
+  },
+  {
+    rule: /orphaned: run-a\/0 runs on, it was told done/,
+    plant: (c, w) => {
+      w.obey([{ op: 'start', job: 'run-a', index: 0, attempt: 1 }]);
+      c.rules.told('run-a', 'done');
+      w.hung = true;
+      c.run(37);
+    },
+  },
+];
+
+test('the judge of the stand-ins sees each of the rules broken', () => {
+  for (const { rule, plant } of PLANTED) {
+    const c = smallCluster(1);
+    for (const n of c.nodes) n.crash();
+    c.specs.set('run-a', job('run-a'));
+    c.specs.set('run-b', job('run-b'));
+    c.awaits.set('run-b', ['run-a']);
+    assert.throws(() => plant(c, c.worker('m0') as WorkerStandIn), rule);
+  }
+});
+
+/** A job is cancelled while its start is on its way; then the start comes back, not carried out. */
+function cancelledWhileItsStartIsSent(c: Cluster, fail: () => void, mend: () => void): void {
+  fail();
+  c.submit(job('run-a', { tasks: 2, estimateS: 300 }));
+  const owner = c.node(holderOf(c, shareOf(c, 'run-a')));
+  const placements = () => [...(owner.core.table.jobs.get('run-a')?.placements.values() ?? [])];
+  c.until('sent', () => placements().some((p) => p.phase === 'sent'), 5);
+  c.cancel('run-a');
+  mend();
+  c.trace = [];
+  c.run(20);
+  assert.deepEqual(
+    c.trace.filter((line) => line.includes('starts run-a')),
+    [],
+  );
+  assert.equal(owner.core.table.jobs.has('run-a'), false, 'nothing is kept of it');
+}
+
+// A start that came back unsent was sent again, whatever had become of its job meanwhile.
+test('a start that could not be sent is not sent again once its job is cancelled', () => {
+  const c = smallCluster(4);
+  cancelledWhileItsStartIsSent(
+    c,
+    () => {
+      c.commandsRefused = () => true;
+    },
+    () => {
+      c.commandsRefused = () => false;
+    },
+  );
+});
+
+/** One stored record, in the order in which the state service took them. */
+type Stored = [key: string, value: unknown];
+
+const accepted = (id: string, aw: string[] = []): Stored => [
+  `a/j/${id}`,
+  aw.length > 0 ? { s: 3, t: 0, sp: job(id), aw } : { s: 0, t: 0, sp: job(id) },
+];
+const done = (id: string): Stored => [`a/j/${id}`, { s: 1, t: 0, n: 1, e: 0 }];
+const cancelled = (id: string): Stored => [`a/j/${id}`, { s: 2, t: 0, sp: job(id) }];
+
+/** Two chains that share a job: one loses its first job, the other goes on; one job is done before it is named. */
+const HISTORY: Stored[] = [
+  accepted('run-a'),
+  accepted('run-d'),
+  accepted('run-m', ['run-a']),
+  accepted('run-b', ['run-d', 'run-m']),
+  cancelled('run-a'),
+  done('run-d'),
+  accepted('run-e', ['run-d']),
+];
+
+/** What a controller holds of each job. */
+function derived(core: Core): Record<string, string> {
+  const { jobs, finals } = core.table;
+  const ids = ['run-a', 'run-b', 'run-d', 'run-e', 'run-m'];
+  return Object.fromEntries(ids.map((id) => [id, finals.get(id) ?? (jobs.get(id)?.waits ? 'waits' : 'may start')]));
+}
+
+const EXPECTED = { 'run-a': 'cancelled', 'run-b': 'cancelled', 'run-d': 'done', 'run-e': 'may start', 'run-m': 'cancelled' };
+
+function* permutations<T>(list: readonly T[]): Generator<T[]> {
+  if (list.length === 0) yield [];
+  for (const [i, first] of list.entries())
+    for (const rest of permutations([...list.slice(0, i), ...list.slice(i + 1)])) yield [first, ...rest];
+}
+
+// What is derived must not depend on the order in which records are read: own writes come ahead of others' older ones.
+test('whatever the order in which records are read, and read again, the same jobs wait, may start and are cancelled', () => {
+  const stamped = HISTORY.map(([key, value], i) => ({ key, value, stamp: i + 1 }));
+  const rows = [...new Map(stamped.map((row) => [row.key, row])).values()];
+  for (const order of permutations(stamped)) {
+    const core = new Core(settings('n0'), 'boot');
+    for (const { key, value, stamp } of order) core.replica.set(key, value, stamp);
+    const said = order.map((row) => `${row.key} ${row.stamp}`).join(', ');
+    assert.deepEqual(derived(core), EXPECTED, said);
+    core.loaded(rows, stamped.length, 100);
+    assert.deepEqual(derived(core), EXPECTED, `read again: ${said}`);
+  }
+});
+
+// A record that came after unreadable progress was left half read: a job without the jobs that it awaits.
+test('a job whose progress can not be read still awaits what its record says', () => {
+  for (const digits of ['not digits', 7, null]) {
+    const core = new Core(settings('n0'), 'boot');
+    core.replica.set('a/p/run-m/0', digits, 1);
+    core.replica.set('a/p/run-m/odd', 'ff', 2);
+    for (const [i, [key, value]] of HISTORY.slice(0, 3).entries()) core.replica.set(key, value, i + 3);
+    assert.equal(core.table.jobs.get('run-m')?.waits, true);
+    assert.equal(core.table.jobs.get('run-a')?.waits, false);
+    core.replica.set(...cancelled('run-a'), 9);
+    assert.equal(core.table.finals.get('run-m'), 'cancelled');
+  }
+});
+
+// What is found on a machine before its record was taken into the table came in without the jobs that it awaits.
+test('a job comes into the table by its record alone, also where a machine names it first', () => {
+  const core = new Core(settings('n0'), 'boot');
+  for (const [i, [key, value]] of HISTORY.slice(0, 4).entries()) core.replica.set(key, value, i + 1);
+  core.table.jobs.delete('run-m');
+  const job = core.table.recall('run-m', core.replica.get('a/j/run-m'), 100);
+  assert.equal(job?.waits, true);
+  assert.equal(core.table.recall('run-never', null, 100), null);
+});
+
+// An input that failed took all that waited with it: changes that were lost so were never read again.
+test('an input that fails costs no other, and a change that can not be taken none that come with it', () => {
+  const seen: string[] = [];
+  const failed: unknown[] = [];
+  const inbox = new Inbox({
+    clock: () => 0,
+    afterEach: () => seen.push('carried out'),
+    staleMs: 1500,
+    failed: (error) => failed.push(error),
+  });
+  inbox.decision(() => seen.push('first'));
+  inbox.decision(() => {
+    throw new Error('odd');
+  });
+  inbox.decision(() => seen.push('last'));
+  inbox.drain();
+  assert.deepEqual(seen, ['first', 'last', 'carried out']);
+  assert.equal(failed.length, 1);
+
+  const read: string[] = [];
+  const errors: string[] = [];
+  const replica = new Replica(
+    (key) => {
+      if (key === 'a/odd') throw new Error('odd');
+      read.push(key);
+    },
+    (key) => errors.push(key),
+  );
+  const change = (key: string, stamp: number) => ({ key, value: {}, stamp });
+  replica.apply([change('a/1', 1), change('a/odd', 2), change('a/2', 3)], 3);
+  replica.reset([change('a/1', 1), change('a/odd', 4), change('a/3', 5)], 5);
+  assert.deepEqual(read, ['a/1', 'a/2', 'a/3', 'a/2']);
+  assert.deepEqual(errors, ['a/odd', 'a/odd']);
+});
--- a/test/walk.ts
+++ b/test/walk.ts
@@ -162,7 +162,7 @@
     }
     if (said === 'done' || said === 'aborted') t.final = said;
     t.accepted = true;
-    if (said === 'aborted' && !this.c.cancelledAt.has(id)) this.c.cancelledAt.set(id, this.c.now);
+    this.c.rules.told(id, said);
   }
 
   /** Its user asked to cancel it, or one that it needs. */
--- a/test/writer.test.ts
+++ b/test/writer.test.ts
@@ -5,7 +5,7 @@
 import { isNoLease } from '@archpost/wire';
 
 function writer(lease = () => null as number | null) {
-  const replica = new Replica(() => {});
+  const replica = new Replica(() => {}, assert.ifError);
   const sent: Extract<Effect, { t: 'txn' }>[] = [];
   const gone: number[] = [];
   const w = new Writer(
