Cancelled work's machines come first where tokens are raised, machines asked and given back

Machines that may bear cancelled work are asked first after a takeover, and given back first.

test/rules.test.ts, red without it: "hundreds of machines lost their commands". The walks know machines that begin again within a split second, and walk at the size and the ratios of production (264 machines, chains at full rate).

--- a/packages/core/src/commands.ts
+++ b/packages/core/src/commands.ts
@@ -2,6 +2,7 @@
 import type { Context } from './context.js';
 import type { Job, Machine, Ms, Need, Placement } from './model.js';
 import { fits, take } from './placement.js';
+import { ABOVE_ALL_RANKS } from './ranks.js';
 import type { Reports } from './reports.js';
 import { taskKey, type Work } from './work.js';
 
@@ -15,13 +16,8 @@
 const LOW_STARTS_MS = 1000;
 const FORGETS_MS = 3000;
 
-/**
- * Who is asked first: what answered so far, then what bears the most urgent work as far as is
- * heard, then by turns. In the order of their names, a hundred machines of a cut zone were
- * asked again and again, and 31 live ones, never asked, were given back as silent.
- */
-function before(a: Machine, b: Machine): number {
-  return Math.min(a.lostCount, 1) - Math.min(b.lostCount, 1) || b.bearsRank - a.bearsRank || a.lastAskAt - b.lastAskAt;
+function lost(m: Machine): number {
+  return Math.min(m.lostCount, 1);
 }
 
 /**
@@ -64,7 +60,7 @@
     // Half of the connections for commands, and a quarter more for what is well: questions to a
     // silent zone must not close those to live machines.
     let room = Math.max(2, Math.round(ASKS_PER_TICK * this.context.settings.cpuShare));
-    if (ask.length > room) ask.sort(before);
+    if (ask.length > room) this.sortForAsking(ask);
     for (const m of ask) {
       if (room < 1) return;
       // What is heard and has answered so far doesn't wait for what isn't.
@@ -75,6 +71,17 @@
     }
   }
 
+  /**
+   * Who is asked first: what answered so far, then what bears cancelled work or the most urgent as far as is
+   * heard, then by turns. In the order of their names, a hundred machines of a cut zone were
+   * asked again and again, and 31 live ones, never asked, were given back as silent.
+   */
+  private sortForAsking(machines: Machine[]): void {
+    const urgency = new Map(machines.map((m) => [m, this.work.bearsCancelled(m) ? ABOVE_ALL_RANKS : m.bearsRank]));
+    const urgencyOf = (m: Machine) => urgency.get(m) ?? m.bearsRank;
+    machines.sort((a, b) => lost(a) - lost(b) || urgencyOf(b) - urgencyOf(a) || a.lastAskAt - b.lastAskAt);
+  }
+
   private askMachine(m: Machine, now: Ms): void {
     // Its silence counts from the first question: until then nothing was asked of it.
     if (!m.probed) {
--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -98,7 +98,7 @@
     }
     if (back.length > 0 && now >= this.nextReturnAt) {
       const id = this.context.nextId();
-      const some = back.slice(0, 50);
+      const some = this.cancelledFirst(back).slice(0, 50);
       for (const m of some) m.returning = true;
       this.returns.set(id, some);
       this.nextReturnAt = now + 300;
@@ -106,6 +106,11 @@
     }
   }
 
+  private cancelledFirst(machines: Machine[]): Machine[] {
+    const urgent = new Set(machines.filter((m) => this.work.bearsCancelled(m)));
+    return [...urgent, ...machines.filter((m) => !urgent.has(m))];
+  }
+
   /**
    * Bears work whose user cancelled it longer than this ago, and that was told so: the time counts from
    * the reading of the cancellation, not from when a new holder found the work.
@@ -318,6 +323,8 @@
       guard: m.grantStamp,
       also: this.work.also(m.share),
       urgency: URGENCY.release,
+      // No command to the machine leaves before this is stored, and so no stop.
+      pressing: () => this.work.bearsCancelled(m),
       done: (o) => {
         m.grantQueued = false;
         m.raisingToken = false;
--- a/packages/core/src/reports.ts
+++ b/packages/core/src/reports.ts
@@ -1,6 +1,7 @@
 import type { PeerHeard, Report, TaskReport } from '@archpost/wire';
 import type { Context } from './context.js';
-import { type Machine, type Ms, type Placement, TOP_RANK } from './model.js';
+import type { Machine, Ms, Placement } from './model.js';
+import { ABOVE_ALL_RANKS } from './ranks.js';
 import type { Records } from './records.js';
 import { KEY } from './state-keys.js';
 import { taskKey, type Work } from './work.js';
@@ -9,8 +10,6 @@
 const MESSAGES_PER_S = 10;
 const MESSAGES_AT_ONCE = 200;
 
-const ABOVE_ALL_RANKS = TOP_RANK + 1;
-
 /** What workers say, taken for what it is worth. */
 export class Reports {
   constructor(
--- a/packages/core/src/writer.ts
+++ b/packages/core/src/writer.ts
@@ -37,6 +37,8 @@
   leased?: boolean;
   /** smaller goes first */
   urgency: number;
+  /** what hangs on it has to be done as soon as what users ask for, whatever its urgency was at first */
+  pressing?: () => boolean;
   /** dropped unsent after this time */
   until?: Ms;
   done: (outcome: WriteOutcome, stamp: number) => void;
@@ -124,8 +126,7 @@
     if (now - this.sweptAt >= 100) this.sweep(now);
     if (now < this.pauseUntil) return;
     while (this.queue.length > 0 && this.inflight.size < 3 && this.budget >= 1) {
-      const before = (w: Queued) => (w.urgency === URGENCY.release && now - w.at > RELEASE_MS ? URGENCY.grant : w.urgency);
-      this.queue.sort((a, b) => before(a) - before(b) || a.at - b.at);
+      this.sortQueue(now);
       const room = Math.min(this.limits.txnOps, this.budget);
       const others = this.queue.some((w) => w.urgency === URGENCY.grant || w.urgency === URGENCY.release);
       let accepts = others ? Math.max(1, Math.floor(room / 2)) : room;
@@ -189,6 +190,18 @@
     }
   }
 
+  /** What comes first is sent first; of two alike, the older. */
+  private sortQueue(now: Ms): void {
+    const urgency = new Map(this.queue.map((w) => [w, this.urgencyNow(w, now)]));
+    const urgencyOf = (w: Queued) => urgency.get(w) ?? w.urgency;
+    this.queue.sort((a, b) => urgencyOf(a) - urgencyOf(b) || a.at - b.at);
+  }
+
+  private urgencyNow(w: Queued, now: Ms): number {
+    if (w.pressing?.()) return Math.min(w.urgency, URGENCY.cancel);
+    return w.urgency === URGENCY.release && now - w.at > RELEASE_MS ? URGENCY.grant : w.urgency;
+  }
+
   /** Gives up on what has waited too long. */
   private sweep(now: Ms): void {
     this.sweptAt = now;
--- a/test/cluster/controller.ts
+++ b/test/cluster/controller.ts
@@ -27,6 +27,9 @@
   private backlog: { run: () => void; lost: () => void }[] = [];
   /** the state service refuses this node alone */
   refused = false;
+  /** inputs that it has processor time for in a tenth of a second: the rest waits, reports first */
+  inputsPerTick = Number.POSITIVE_INFINITY;
+  private readonly waiting: { reports: (() => void)[]; others: (() => void)[] } = { reports: [], others: [] };
   /** its watch brings nothing for now, while all else at the state service goes on */
   lagging = false;
   private permit: number | null = null;
@@ -52,6 +55,8 @@
   crash(): void {
     this.frozen = false;
     this.backlog = [];
+    this.waiting.reports.length = 0;
+    this.waiting.others.length = 0;
     this.up = false;
     this.cluster.note(`${this.name} crashes`);
   }
@@ -83,15 +88,28 @@
     this.run();
   }
 
-  private input(run: () => void, lost: () => void = () => {}): void {
+  private input(run: () => void, lost: () => void = () => {}, kind: 'reports' | 'others' = 'others'): void {
     if (this.frozen) {
       this.backlog.push({ run, lost });
       return;
     }
+    if (this.inputsPerTick !== Number.POSITIVE_INFINITY) {
+      this.waiting[kind].push(run);
+      return;
+    }
     run();
     this.run();
   }
 
+  /** As many of the inputs that wait as there is processor time for. */
+  private takeWaiting(): void {
+    const { reports, others } = this.waiting;
+    for (let taken = 0; taken < this.inputsPerTick && reports.length + others.length > 0; taken++) {
+      (reports.shift() ?? others.shift())?.();
+      this.run();
+    }
+  }
+
   private wait(then: (status: number, body: Record<string, unknown>) => void): number {
     const id = this.nextAnswer++;
     this.answers.set(id, then);
@@ -100,7 +118,11 @@
 
   report(r: Report, then: (status: number, body: Record<string, unknown>) => void): void {
     const id = this.wait(then);
-    this.input(() => this.core.report(id, r, this.cluster.now));
+    this.input(
+      () => this.core.report(id, r, this.cluster.now),
+      () => {},
+      'reports',
+    );
   }
 
   submit(s: JobSpec, then: (status: number, body: Record<string, unknown>) => void, without = ''): void {
@@ -121,6 +143,7 @@
 
   tick(): void {
     if (!this.up || this.frozen) return;
+    this.takeWaiting();
     const { now, state } = this.cluster;
     if (!this.cluster.stateDown && !this.refused) {
       if (now >= this.renewAt) {
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -3,7 +3,7 @@
 import { test } from 'node:test';
 import { Core, Replica } from '@archpost/core';
 import { Inbox } from '../packages/server/src/inbox.js';
-import { type Cluster, holderOf, job, settings, shareOf, smallCluster, type WorkerStandIn } from './stand-ins.js';
+import { Cluster, holderOf, job, settings, shareOf, smallCluster, type WorkerStandIn } from './stand-ins.js';
 
 /** Each of these breaks a rule on purpose: the judge of the stand-ins must see it. */
 const PLANTED: { rule: RegExp; plant: (c: Cluster, w: WorkerStandIn) => void }[] = [
@@ -200,3 +200,31 @@
   assert.deepEqual(read, ['a/1', 'a/2', 'a/3', 'a/2']);
   assert.deepEqual(errors, ['a/odd', 'a/odd']);
 });
+
+// At the slowest rate of changes 240 tokens take a quarter of a minute to raise, and no stop leaves before its machine's is.
+test('hundreds of machines lost their commands: those with cancelled work get their tokens, and their stops, first', () => {
+  const c = new Cluster(undefined, (s) => ({ ...s, state: { ...s.state, writeRps: 15, txnOps: 4 }, teams: s.teams.slice(0, 1) }));
+  for (let i = 0; i < 240; i++) c.machine(`m${1000 + i}`, 'small', i % 2 === 0 ? 'east' : 'west');
+  c.settle();
+  const ids = Array.from({ length: 6 }, (_, i) => `run-${i}`);
+  for (const id of ids) c.submit(job(id, { tasks: 40, cpus: 3, estimateS: 500 }));
+  c.until('all run', () => ids.every((id) => c.running(id) === 40), 60);
+  c.run(20);
+  // A second task for each machine: its start is lost, and nothing is answered meanwhile that could stop anything.
+  c.commandsLost = () => true;
+  c.submit(job('run-more', { tasks: 240, cpus: 1, estimateS: 500 }));
+  const owner = c.node(holderOf(c, shareOf(c, 'run-0')));
+  const machines = () => [...owner.core.table.machines.values()];
+  const sent = () => [...(owner.core.table.jobs.get('run-more')?.placements.values() ?? [])].filter((p) => p.phase === 'sent');
+  c.until('the starts are under way', () => sent().length > 200, 20);
+  c.stateDown = true;
+  const waiting = () => machines().filter((m) => m.dirty).length;
+  c.until('they are lost', () => waiting() > 200, 20);
+  c.stateDown = false;
+  c.mute = () => true;
+  c.cancel('run-5');
+  c.commandsLost = () => false;
+  // Sooner than by their leases, which run out after twelve seconds.
+  c.until('what is cancelled is gone', () => c.on('run-5').length === 0, 6);
+  assert.ok(waiting() > 20, `${waiting()} machines still wait for their tokens`);
+});
--- a/test/walk.ts
+++ b/test/walk.ts
@@ -1,5 +1,7 @@
 // A seeded random walk: users go on submitting, asking and calling off while troubles meet in pairs, and
 // every rule of PROTOCOL that can be seen from workers and users is checked after each step.
+import type { CoreSettings } from '@archpost/core';
+import type { JobSpec } from '@archpost/wire';
 import { Cluster, job, type Node, type Version } from './stand-ins.js';
 
 /** Numbers that look random and are the same for the same seed. */
@@ -46,6 +48,7 @@
   'late reports',
   'cloud down',
   'machine dies',
+  'machines begin again',
   'cancel now',
 ] as const;
 export type Trouble = (typeof TROUBLES)[number];
@@ -60,8 +63,29 @@
   from?: Version;
   /** limits that the state service has once all controllers are new */
   next?: { valueKb: number; txnOps: number; writeRps: number };
+  /** machines at the start, instead of a handful */
+  machines?: { small: number; big: number };
+  /** settings that differ from those of the stand-ins */
+  tune?: (s: CoreSettings) => CoreSettings;
+  /** work at full rate, beside what users do anyway */
+  load?: WalkLoad;
+  /** inputs that a controller has processor time for in a tenth of a second */
+  inputsPerTick?: number;
 }
 
+/** Work that comes at full rate. */
+export interface WalkLoad {
+  /** chains of four to seven jobs, submitted one after another */
+  chainsPerS: number;
+  /** jobs of one task */
+  singlesPerS: number;
+  /** part of the singles that is cancelled, and of the chains, at any of their jobs */
+  cancelled: number;
+}
+
+/** Questions that a user asks at once when all is over. */
+const ASKED_AT_ONCE = 20;
+
 /** From here on, and with so much time between them, controllers get the present version. */
 const UPGRADE_AT_MS = 15_000;
 const UPGRADE_EACH_MS = 12_000;
@@ -85,14 +109,19 @@
   ) {
     this.only = options.only ?? TROUBLES;
     this.random = numbers(seed);
-    this.c = new Cluster(undefined, (s) => ({
-      ...s,
-      state: { ...s.state, next: options.next ?? null },
-      policy: { ...s.policy, hold: false, idleS: 60, maxMachines: 18 },
-    }));
+    const { small, big } = options.machines ?? { small: 8, big: 3 };
+    const tune = options.tune ?? ((s) => s);
+    this.c = new Cluster(undefined, (s) =>
+      tune({
+        ...s,
+        state: { ...s.state, next: options.next ?? null },
+        policy: { ...s.policy, hold: false, idleS: 60, maxMachines: small + big + 7 },
+      }),
+    );
     if (options.from) this.startWith(options.from);
-    for (let i = 0; i < 8; i++) this.c.machine(`m${i}`, 'small', i % 2 === 0 ? 'east' : 'west');
-    for (let i = 0; i < 3; i++) this.c.machine(`g${i}`, 'big', i % 2 === 0 ? 'east' : 'west');
+    for (let i = 0; i < small; i++) this.c.machine(`m${i}`, 'small', i % 2 === 0 ? 'east' : 'west');
+    for (let i = 0; i < big; i++) this.c.machine(`g${i}`, 'big', i % 2 === 0 ? 'east' : 'west');
+    for (const n of this.c.nodes) n.inputsPerTick = options.inputsPerTick ?? Number.POSITIVE_INFINITY;
     this.c.bootMs = () => 1000 + 5000 * this.random();
     this.c.settle();
     this.c.reported = (r) => {
@@ -233,7 +262,75 @@
     this.asks('submit', id);
   }
 
+  /** Work at full rate: chains whose jobs are submitted as soon as those before are accepted, and jobs of one task. */
+  private fullLoad({ chainsPerS, singlesPerS, cancelled }: WalkLoad): void {
+    const perStep = (rate: number) => this.random() < rate / 10;
+    if (perStep(singlesPerS)) {
+      const id = this.submitNew({ tasks: 1, estimateS: 2 + this.int(20), cpus: 1, memory: 1, rank: this.int(3) });
+      if (this.random() < cancelled) this.cancelLater([id]);
+    }
+    if (this.upgraded && perStep(chainsPerS)) {
+      const ids: string[] = [];
+      this.chains.push({ ids, length: 4 + this.int(4), team: this.pick(TEAMS) });
+      if (this.random() < cancelled) this.cancelLater(ids);
+    }
+    for (const chain of this.chains) this.continueChain(chain);
+    this.chains = this.chains.filter((chain) => chain.ids.length < chain.length);
+  }
+
+  private chains: { ids: string[]; length: number; team: string }[] = [];
+
+  /** The next job of a chain awaits one or two of those before it, the last of them among these. */
+  private continueChain({ ids, team }: { ids: string[]; team: string }): void {
+    const last = ids.at(-1);
+    if (last !== undefined && !this.told.get(last)?.accepted) {
+      if (this.random() < 0.1) this.asks('submit', last);
+      return;
+    }
+    const awaits = last === undefined ? [] : [...new Set([last, this.pick(ids)])];
+    const shape = this.random() < 0.2 ? 'gang' : 'array';
+    ids.push(
+      this.submitNew(
+        { team, shape, tasks: 1 + this.int(3), estimateS: 1 + this.int(8), cpus: 1, memory: 1, rank: this.int(2) },
+        awaits,
+      ),
+    );
+  }
+
+  private submitNew(over: Partial<JobSpec>, awaits: string[] = []): string {
+    const id = `run-w${this.jobs++}`;
+    this.c.specs.set(id, job(id, { team: this.pick(TEAMS), ...over }));
+    if (awaits.length > 0) this.c.awaits.set(id, awaits);
+    this.told.set(id, { accepted: false, final: null, cancelAsked: false, answeredAt: this.c.now });
+    this.asks('submit', id);
+    return id;
+  }
+
+  /** Any of the jobs that there are by then. */
+  private cancelLater(ids: string[]): void {
+    this.c.at(this.c.now + 500 + 15_000 * this.random(), () => {
+      const id = this.pick(ids);
+      if (id !== undefined) this.toCancel.add(id);
+    });
+  }
+
+  private readonly toCancel = new Set<string>();
+
+  /** Whoever wants a job cancelled asks until it is over; whoever waits for one asks now and then. */
+  private persist(): void {
+    for (const id of this.toCancel) {
+      if (this.told.get(id)?.final !== null) this.toCancel.delete(id);
+      else if (this.random() < 0.05) this.asks('cancel', id);
+    }
+    const open = [...this.told].filter(([, t]) => t.accepted && t.final === null);
+    for (let i = 0; i < open.length / 50; i++) this.asks('poll', this.pick(open)[0]);
+  }
+
   private users(): void {
+    if (this.options.load) {
+      this.fullLoad(this.options.load);
+      this.persist();
+    }
     if (this.random() < 0.1) this.newJob();
     const ids = [...this.told.keys()];
     if (ids.length === 0) return;
@@ -373,6 +470,9 @@
         w.tasks.clear();
         return;
       }
+      case 'machines begin again':
+        for (const w of live) if (some.has(w.name) && !w.hung) w.reboot();
+        return;
       case 'cancel now':
         for (const [id, t] of [...this.told].slice(-6)) if (t.accepted && !t.final) this.asks('cancel', id);
     }
@@ -474,12 +574,20 @@
     if (left.length > 0) this.broken(`still waiting long after the troubles:\n${left.join('\n')}`);
     this.atRest();
     if (c.state.tooLarge > 0) this.broken(`${c.state.tooLarge} changes were too large`);
-    for (const [id, t] of this.told) {
-      if (!t.accepted) continue;
-      for (const n of c.nodes) {
+    for (const n of c.nodes) this.allAnswered(n);
+  }
+
+  /** Every accepted job is answered by the controller, a few at a time, and what was cancelled before it is, too. */
+  private allAnswered(n: Node): void {
+    const accepted = [...this.told].filter(([, t]) => t.accepted);
+    for (let at = 0; at < accepted.length; at += ASKED_AT_ONCE) {
+      const some = accepted.slice(at, at + ASKED_AT_ONCE);
+      for (const [id, t] of some) {
         t.answeredAt = -1;
         this.asks('poll', id, n);
-        for (let i = 0; i < 30 && t.answeredAt < 0; i++) c.run(0.1);
+      }
+      for (let i = 0; i < 30 && some.some(([, t]) => t.answeredAt < 0); i++) this.c.run(0.1);
+      for (const [id, t] of some) {
         if (t.answeredAt < 0) this.broken(`forgotten: ${id} is not answered by ${n.name}`);
         if (this.needsCancelled(id) && t.final !== 'aborted') this.broken(`orphaned: ${id} goes on at ${n.name}`);
       }
--- a/test/walks.test.ts
+++ b/test/walks.test.ts
@@ -1,7 +1,8 @@
 // Random walks through pairs of troubles (docs/meetings.md).
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { Walk } from './walk.js';
+import * as production from './upgrade/production-core.mjs';
+import { Walk, type WalkOptions } from './walk.js';
 
 /** Troubles in pairs and threes, every rule checked after each step; for long by hand: WALKS=500 npm test. */
 test('seeded random walks through pairs of troubles break no rule, and leave nothing waiting or forgotten', () => {
@@ -14,3 +15,32 @@
     }
   }
 });
+
+/** The ratios of the users' larger sites: changes a second, sizes after the fall, processor time, sockets. */
+const AT_SIZE: WalkOptions = {
+  pipelines: true,
+  machines: { small: 240, big: 24 },
+  next: { valueKb: 2, txnOps: 4, writeRps: 15 },
+  inputsPerTick: 60,
+  load: { chainsPerS: 1, singlesPerS: 4, cancelled: 0.5 },
+  tune: (s) => ({
+    ...s,
+    cpuShare: 0.136,
+    sockets: 1200,
+    state: { ...s.state, rps: 100, writeRps: 20, valueKb: 16, txnOps: 12 },
+    teams: s.teams.map((team) => ({ ...team, gpus: 60, gpusMax: 120 })),
+  }),
+};
+
+/** For longer by hand: SIZE_WALKS=20 npm test. */
+test('walks at the size and the ratios of production, with chains at full rate, over a roll and without', () => {
+  for (let seed = 1; seed <= Number(process.env.SIZE_WALKS ?? 1); seed++) {
+    for (const from of [undefined, production]) {
+      try {
+        new Walk(seed, { ...AT_SIZE, ...(from && { from }) }).run(90);
+      } catch (e) {
+        assert.fail(`seed ${seed}${from ? ', over a roll' : ''}: ${e instanceof Error ? e.message : e}`);
+      }
+    }
+  }
+});
