What runs of jobs that are over is stopped by the answers to reports; strays take no new work

A second attempt of a job that is done was stopped by its owner's direct commands alone: where these didn't get through it ran on, unknown to the scheduler, for as long as the answers renewed its lease (test: not gone after 10 s with the sources before; gone with its next report now). Room that something unknown takes isn't planned with.

Cleared by a test: a report that names an unknown job or an index out of range is stopped and harms nothing else.

--- a/packages/core/src/work.ts
+++ b/packages/core/src/work.ts
@@ -155,6 +155,8 @@
       !this.blame.faulty(m, now) &&
       !this.blame.doubtful(m, now) &&
       m.lostCount === 0 &&
+      // What runs there without a place here takes room that isn't known.
+      !m.strays.some((task) => task.state !== 'exited') &&
       now - m.heardAt < this.context.settings.workers.reportS * 2500
     );
   }
--- a/packages/core/src/worker-reports.ts
+++ b/packages/core/src/worker-reports.ts
@@ -51,7 +51,7 @@
     if (owner.work.holds(machine.share, now)) owner.reports.observe(machine, report, now);
     // The work must not die because its owner did, or can't be reached from here.
     else forwarding.hear(report, holder, now);
-    this.answer(id, 200, reportAnswer(table.token(machine), this.cancelledOf(report)));
+    this.answer(id, 200, reportAnswer(table.token(machine), this.stopsOf(report)));
   }
 
   /** A report that another controller answered and passed on. */
@@ -86,14 +86,15 @@
   }
 
   /**
-   * What a report names of cancelled jobs is stopped by the answer, whoever gives it: a direct command may
-   * not get through where the answer does, and the answer is what lets the work live on.
+   * What a report names of jobs that are over is stopped by the answer, whoever gives it: a direct command may
+   * not get through where the answer does, and the answer is what lets the work live on. Of a job that is done a
+   * second attempt may be left, which its owner knows nothing of any more.
    */
-  private cancelledOf(report: Report): Command[] {
+  private stopsOf(report: Report): Command[] {
     const stops: Command[] = [];
     for (const { job, index, attempt, state } of report.tasks) {
-      const cancelled = this.context.table.finals.get(job) === 'cancelled';
-      if (state !== 'exited' && cancelled) stops.push({ op: 'stop', job, index, attempt, graceS: 0 });
+      const isOver = this.context.table.finals.has(job);
+      if (state !== 'exited' && isOver) stops.push({ op: 'stop', job, index, attempt, graceS: 0 });
     }
     return stops;
   }
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -228,3 +228,39 @@
   c.until('what is cancelled is gone', () => c.on('run-5').length === 0, 6);
   assert.ok(waiting() > 20, `${waiting()} machines still wait for their tokens`);
 });
+
+// A task that its owner knows nothing of ran on for as long as direct commands didn't get through to its machine.
+test('a second attempt of a job that is done is stopped by the answers to reports, and takes no new work meanwhile', () => {
+  const c = smallCluster(2);
+  c.submit(job('run-a', { estimateS: 2 }));
+  c.until('done', () => c.ask('run-a') === 'done', 30);
+  const w = c.worker('m0') as WorkerStandIn;
+  c.commandsLost = (_n, m) => m === 'm0';
+  w.tasks.set('run-a/0/7', {
+    job: 'run-a',
+    index: 0,
+    attempt: 7,
+    state: 'running',
+    why: null,
+    saved: false,
+    startedAt: c.now + 1e6,
+  });
+  c.until('stopped', () => c.on('run-a').length === 0, 10);
+});
+
+test('a report that names what can not be: it is stopped, and nothing else is harmed', () => {
+  const c = smallCluster(2);
+  c.submit(job('run-a', { tasks: 2, cpus: 1, estimateS: 300 }));
+  c.until('running', () => c.running('run-a') === 2);
+  const w = c.worker(c.on('run-a')[0] as string) as WorkerStandIn;
+  const odd = { index: 0, attempt: 99, state: 'running' as const, why: null, saved: false, startedAt: c.now + 1e6 };
+  c.specs.set('run-never', job('run-never', { cpus: 1 }));
+  w.tasks.set('run-never/0/99', { ...odd, job: 'run-never' });
+  w.tasks.set('run-a/7/99', { ...odd, job: 'run-a', index: 7 });
+  c.run(10);
+  assert.deepEqual(
+    [...w.tasks.keys()].filter((key) => key.endsWith('/99')),
+    [],
+  );
+  assert.equal(c.running('run-a'), 2);
+});
