Commands: short functions with whole names, one place for commands about single tasks; no change of behaviour

The outcome of a command has a typed message and a function for each kind, numbers have names, and starts, stops and clearing are made in task-commands.ts (also the answers to reports use it).

--- a/packages/core/src/commands.ts
+++ b/packages/core/src/commands.ts
@@ -1,10 +1,11 @@
 import type { Command, Report } from '@archpost/wire';
 import type { Context } from './context.js';
-import type { Job, Machine, Ms, Need, Placement } from './model.js';
+import { type Job, type Machine, type Ms, NEVER, type Need, type Placement } from './model.js';
 import { fits, take } from './placement.js';
 import { ABOVE_ALL_RANKS } from './ranks.js';
 import type { Reports } from './reports.js';
-import { taskKey, type Work } from './work.js';
+import { clearStray, forgetCommand, startCommand, stopCommand } from './task-commands.js';
+import type { Work } from './work.js';
 
 /**
  * Machines asked how they stand at once, by a whole core. After a takeover all have to be, and
@@ -12,33 +13,55 @@
  */
 const ASKS_PER_TICK = 32;
 
+/** A machine that is silent for so many report intervals is asked. */
+const SILENT_REPORTS = 2;
+
+/** Connections for each question under way: most are for commands, and a part of those for what is well. */
+const SOCKETS_PER_QUESTION = 12;
+const SOCKETS_PER_QUESTION_TO_WELL = 8;
+
+/** Most commands in one message, but for stops. */
+const MOST_COMMANDS = 60;
+
+/** A stop is sent again after this long. */
+const STOP_AGAIN_MS = 4000;
+
+/** A machine that didn't answer, or that knows a higher token, is tried again after this long. */
+const UNANSWERED_RETRY_MS = 700;
+const HIGHER_TOKEN_RETRY_MS = 1000;
+
+const NOTHING: Need = { cpus: 0, gpus: 0, memory: 0 };
+
 /** Starts of the lowest rank, and what is only to be cleared away, go out this often to a machine. */
 const LOW_STARTS_MS = 1000;
 const FORGETS_MS = 3000;
 
-function lost(m: Machine): number {
-  return Math.min(m.lostCount, 1);
+function lost(machine: Machine): number {
+  return Math.min(machine.lostCount, 1);
 }
 
-/**
- * The only place where a start is made, as the command leaves: whatever was true when it was planned, its job must be
- * one that runs, with nothing left to await, and the task not one that was told to stop meanwhile.
- */
-function startCommand(p: Placement): Command | null {
-  const { job } = p;
-  if (job.state !== 'live' || job.waits || p.stop !== null) return null;
-  return { op: 'start', job: job.spec.id, index: p.index, attempt: p.attempt };
+/** A command, or a question, that was not answered yet. */
+interface CommandUnderWay {
+  machine: Machine;
+  starts: Placement[];
+  /** a question: nothing is commanded */
+  isProbe: boolean;
+  /** what was known of the machine when it was sent: the answer is newer */
+  seen: { session: number; seq: number };
+}
+
+/** What became of a command. `lost`: it may be carried out yet; `refused`: it never left. */
+export type CommandResult = { kind: 'ok' | 'stale'; report: Report | null } | { kind: 'lost' | 'refused' };
+
+function capacityOf({ cap }: Machine): Need {
+  return { cpus: cap?.cpus ?? 0, gpus: cap?.gpus ?? 0, memory: cap?.memory ?? 0 };
 }
 
 /** Commands to workers: what is sent, and what its outcome means. */
 export class Commands {
-  private readonly sent = new Map<
-    number,
-    { machine: Machine; sent: Placement[]; probe: boolean; seen: { session: number; seq: number } }
-  >();
+  private readonly underWay = new Map<number, CommandUnderWay>();
 
-  /** questions under way */
-  private probes = 0;
+  private probesUnderWay = 0;
 
   constructor(
     private readonly context: Context,
@@ -48,26 +71,38 @@
 
   /** To all our machines what each is to be told or asked. */
   flushAll(now: Ms): void {
-    const ask: Machine[] = [];
-    for (const m of this.context.table.machines.values()) {
-      if (!this.context.acts(m.share)) continue;
-      if (m.inflight !== 0 || m.giveBack !== '' || m.addr === '' || now < m.retryAt || m.dirty || m.raisingToken) continue;
-      // Silent, not answering, or odd: ask, rather than wait for the next report.
-      const odd = now - m.heardAt > this.context.settings.workers.reportS * 2000 || m.lostCount > 0 || m.ask;
-      if (m.resolved && !odd) this.flush(m, now);
-      else ask.push(m);
+    const toAsk: Machine[] = [];
+    for (const machine of this.context.table.machines.values()) {
+      if (!this.mayCommand(machine, now)) continue;
+      if (machine.resolved && !this.isOdd(machine, now)) this.flush(machine, now);
+      else toAsk.push(machine);
     }
-    // Half of the connections for commands, and a quarter more for what is well: questions to a
-    // silent zone must not close those to live machines.
+    this.askSome(toAsk, now);
+  }
+
+  private mayCommand(machine: Machine, now: Ms): boolean {
+    if (!this.context.acts(machine.share) || machine.giveBack !== '' || machine.addr === '') return false;
+    return machine.inflight === 0 && now >= machine.retryAt && !machine.dirty && !machine.raisingToken;
+  }
+
+  /** Silent, not answering, or odd: it is asked, rather than waited for. */
+  private isOdd(machine: Machine, now: Ms): boolean {
+    const silentMs = SILENT_REPORTS * this.context.settings.workers.reportS * 1000;
+    return machine.ask || machine.lostCount > 0 || now - machine.heardAt > silentMs;
+  }
+
+  /** As many as there is processor time for; questions to a silent zone must not close connections to live machines. */
+  private askSome(machines: Machine[], now: Ms): void {
     let room = Math.max(2, Math.round(ASKS_PER_TICK * this.context.settings.cpuShare));
-    if (ask.length > room) this.sortForAsking(ask);
-    for (const m of ask) {
+    if (machines.length > room) this.sortForAsking(machines);
+    for (const machine of machines) {
       if (room < 1) return;
       // What is heard and has answered so far doesn't wait for what isn't.
-      const well = m.resolved && m.lostCount === 0 && this.work.heardLately(m, now);
-      if (this.probes >= this.context.settings.sockets / (well ? 8 : 12)) continue;
+      const well = machine.resolved && machine.lostCount === 0 && this.work.heardLately(machine, now);
+      const part = well ? SOCKETS_PER_QUESTION_TO_WELL : SOCKETS_PER_QUESTION;
+      if (this.probesUnderWay >= this.context.settings.sockets / part) continue;
       room--;
-      this.askMachine(m, now);
+      this.ask(machine, now);
     }
   }
 
@@ -77,171 +112,179 @@
    * asked again and again, and 31 live ones, never asked, were given back as silent.
    */
   private sortForAsking(machines: Machine[]): void {
-    const urgency = new Map(machines.map((m) => [m, this.work.bearsCancelled(m) ? ABOVE_ALL_RANKS : m.bearsRank]));
-    const urgencyOf = (m: Machine) => urgency.get(m) ?? m.bearsRank;
-    machines.sort((a, b) => lost(a) - lost(b) || urgencyOf(b) - urgencyOf(a) || a.lastAskAt - b.lastAskAt);
+    const ranks = machines.map(
+      (machine) => [machine, this.work.bearsCancelled(machine) ? ABOVE_ALL_RANKS : machine.bearsRank] as const,
+    );
+    const rankOf = new Map(ranks);
+    const rank = (machine: Machine) => rankOf.get(machine) ?? machine.bearsRank;
+    machines.sort((a, b) => lost(a) - lost(b) || rank(b) - rank(a) || a.lastAskAt - b.lastAskAt);
   }
 
-  private askMachine(m: Machine, now: Ms): void {
+  private ask(machine: Machine, now: Ms): void {
     // Its silence counts from the first question: until then nothing was asked of it.
-    if (!m.probed) {
-      m.probed = true;
-      m.heardAt = now;
+    if (!machine.probed) {
+      machine.probed = true;
+      machine.heardAt = now;
     }
-    this.send(m, [], [], true);
+    machine.lastAskAt = this.work.now;
+    this.probesUnderWay++;
+    this.send(machine, [], [], true);
   }
 
-  private flush(m: Machine, now: Ms): void {
-    const cmds: Command[] = [];
-    const started: Placement[] = [];
-    const free: Need = m.cap ? { cpus: m.cap.cpus, gpus: m.cap.gpus, memory: m.cap.memory } : { cpus: 0, gpus: 0, memory: 0 };
-    for (const t of m.strays) {
-      if (t.state === 'exited') cmds.push({ op: 'forget', job: t.job, index: t.index, attempt: t.attempt });
-      else cmds.push({ op: 'stop', job: t.job, index: t.index, attempt: t.attempt, graceS: 0 });
-    }
-    for (const p of m.placements.values()) {
-      const id = { job: p.job.spec.id, index: p.index, attempt: p.attempt };
-      if (p.phase === 'exited') {
-        const kept = p.report?.why === 'done' && p.job.state === 'live' && !p.job.stored[p.index];
-        if (!kept) cmds.push({ op: 'forget', ...id });
+  private flush(machine: Machine, now: Ms): void {
+    const free = capacityOf(machine);
+    const commands = [...machine.strays.map(clearStray), ...this.stopsAndForgets(machine, free, now)];
+    const started = this.work.mayStart(now) ? this.startable(machine, free, MOST_COMMANDS - commands.length) : [];
+    commands.push(...started.map(({ command }) => command));
+    const placements = started.map(({ placement }) => placement);
+    if (commands.length > 0 && !this.canWait(machine, commands, placements, now)) this.send(machine, commands, placements, false);
+  }
+
+  /** What is to be stopped or cleared away. Takes what the rest needs from `free`. */
+  private stopsAndForgets(machine: Machine, free: Need, now: Ms): Command[] {
+    const commands: Command[] = [];
+    for (const placement of machine.placements.values()) {
+      if (placement.phase === 'planned') continue;
+      if (placement.phase === 'exited') {
+        if (!this.isKept(placement)) commands.push(forgetCommand(placement));
         continue;
       }
-      if (p.phase === 'planned') continue;
-      if (p.stop !== null && now - p.stopSentAt > 4000) {
-        cmds.push({ op: 'stop', ...id, graceS: p.stop });
-        p.stopSentAt = now;
-        if (p.stopSince < 0) p.stopSince = now;
+      if (placement.stop !== null && now - placement.stopSentAt > STOP_AGAIN_MS) {
+        commands.push(stopCommand(placement, placement.stop));
+        placement.stopSentAt = now;
+        if (placement.stopSince < 0) placement.stopSince = now;
       }
       // What is told to go without saving is gone before the next command.
-      if (p.stop !== 0) take(free, p.job.need);
+      if (placement.stop !== 0) take(free, placement.job.need);
     }
-    if (this.work.mayStart(now)) {
-      for (const p of m.placements.values()) {
-        if (p.phase !== 'planned' || cmds.length > 60 || this.work.unconfirmed(p.job)) continue;
-        if (p.job.spec.shape === 'gang' ? !this.gangReady(p.job) : !fits(p.job.need, free)) continue;
-        const start = startCommand(p);
-        if (start === null) continue;
-        take(free, p.job.need);
-        cmds.push(start);
-        started.push(p);
-      }
+    return commands;
+  }
+
+  /** The worker keeps a result until it is stored. */
+  private isKept({ report, job, index }: Placement): boolean {
+    return report?.why === 'done' && job.state === 'live' && !job.stored[index];
+  }
+
+  private startable(machine: Machine, free: Need, most: number): { placement: Placement; command: Command }[] {
+    const out: { placement: Placement; command: Command }[] = [];
+    for (const placement of machine.placements.values()) {
+      const { job } = placement;
+      if (placement.phase !== 'planned' || out.length > most || this.work.unconfirmed(job)) continue;
+      if (job.spec.shape === 'gang' ? !this.gangReady(job) : !fits(job.need, free)) continue;
+      const command = startCommand(placement);
+      if (command === null) continue;
+      take(free, job.need);
+      out.push({ placement, command });
     }
-    if (cmds.length > 0 && !this.canWait(m, cmds, started, now)) this.send(m, cmds, started, false);
+    return out;
   }
 
   /**
    * Machines that run short tasks of low rank are told of several at once: with a command and
    * its answer for each, a swarm of them took what processor time there was.
    */
-  private canWait(m: Machine, cmds: Command[], started: Placement[], now: Ms): boolean {
-    if (cmds.some((c) => c.op === 'stop') || started.some((p) => p.job.rank > 0)) return false;
-    if (started.length > 0) return now - m.toldAt < LOW_STARTS_MS;
+  private canWait(machine: Machine, commands: Command[], started: Placement[], now: Ms): boolean {
+    if (commands.some((command) => command.op === 'stop') || started.some((placement) => placement.job.rank > 0)) return false;
+    if (started.length > 0) return now - machine.toldAt < LOW_STARTS_MS;
     // What would be empty without them may be wanted elsewhere.
-    if (m.moveTo >= 0 || m.retire || m.noticeUntil >= 0) return false;
+    if (machine.moveTo >= 0 || machine.retire || machine.noticeUntil >= 0) return false;
     let bears = false;
-    for (const p of m.placements.values()) {
+    for (const placement of machine.placements.values()) {
       // What was stopped or failed can't start again before it is cleared away.
-      if (p.phase === 'exited' && p.report?.why !== 'done') return false;
-      bears ||= p.phase === 'there';
+      if (placement.phase === 'exited' && placement.report?.why !== 'done') return false;
+      bears ||= placement.phase === 'there';
     }
-    return bears && now - m.toldAt < FORGETS_MS;
+    return bears && now - machine.toldAt < FORGETS_MS;
   }
 
   /** Starts go out once every member has room in the held plan. */
-  private gangReady(j: Job): boolean {
-    if (j.gangFailed || j.placements.size < j.spec.tasks) return false;
-    for (const p of j.placements.values()) {
-      if (p.phase !== 'planned') continue;
-      const m = p.machine;
-      if (!m.resolved || m.dirty || !m.cap) return false;
-      const free: Need = { cpus: m.cap.cpus, gpus: m.cap.gpus, memory: m.cap.memory };
-      for (const q of m.placements.values()) if (q.phase === 'sent' || q.phase === 'there') take(free, q.job.need);
-      for (const q of m.placements.values()) if (q.phase === 'planned' && q.job === j) take(free, j.need);
-      if (free.cpus < -1e-6 || free.gpus < -1e-6 || free.memory < -1e-6) return false;
+  private gangReady(job: Job): boolean {
+    if (job.gangFailed || job.placements.size < job.spec.tasks) return false;
+    for (const { phase, machine } of job.placements.values()) {
+      if (phase !== 'planned') continue;
+      if (!machine.resolved || machine.dirty || !machine.cap) return false;
+      const free = capacityOf(machine);
+      for (const other of machine.placements.values()) {
+        const isThere = other.phase === 'sent' || other.phase === 'there';
+        if (isThere || (other.phase === 'planned' && other.job === job)) take(free, other.job.need);
+      }
+      if (!fits(NOTHING, free)) return false;
     }
     return true;
   }
 
-  private send(m: Machine, commands: Command[], sent: Placement[], probe: boolean): void {
+  private send(machine: Machine, commands: Command[], starts: Placement[], isProbe: boolean): void {
     const id = this.context.nextId();
     // Marked before anything leaves: from here on the tasks may be there.
-    for (const p of sent) p.phase = 'sent';
-    m.inflight = id;
-    m.toldAt = this.work.now;
-    m.ask = false;
-    if (probe) {
-      m.lastAskAt = this.work.now;
-      this.probes++;
-    }
-    this.sent.set(id, { machine: m, sent, probe, seen: { session: m.session, seq: m.seq } });
+    for (const placement of starts) placement.phase = 'sent';
+    machine.inflight = id;
+    machine.toldAt = this.work.now;
+    machine.ask = false;
+    this.underWay.set(id, { machine, starts, isProbe, seen: { session: machine.session, seq: machine.seq } });
     this.context.emit({
       t: 'command',
       id,
-      machine: m.name,
-      addr: m.addr,
-      token: this.context.table.token(m),
-      session: m.session > 0 ? m.session : 1,
+      machine: machine.name,
+      addr: machine.addr,
+      token: this.context.table.token(machine),
+      session: machine.session > 0 ? machine.session : 1,
       commands,
     });
   }
 
-  /** `lost`: the command may be executed yet; `refused`: it never left. */
-  result(id: number, r: { kind: 'ok' | 'stale'; report: Report | null } | { kind: 'lost' | 'refused' }, now: Ms): void {
-    const c = this.sent.get(id);
-    if (!c) return;
-    this.sent.delete(id);
-    if (c.probe) this.probes--;
-    const m = c.machine;
-    if (m.inflight !== id) return;
-    m.inflight = 0;
+  /** The outcome of a command or a question. */
+  result(id: number, result: CommandResult, now: Ms): void {
+    const command = this.underWay.get(id);
+    if (!command) return;
+    this.underWay.delete(id);
+    const { machine, isProbe } = command;
+    if (isProbe) this.probesUnderWay--;
+    if (machine.inflight !== id) return;
+    machine.inflight = 0;
     // That a machine stands as it stood changes no plan.
-    if (!c.probe || !m.resolved || m.lostCount > 0) this.work.wantPlan = true;
-    if (!this.work.held.has(m.share)) return;
-    // Executed, but what is there now can't be read: as good as no answer.
-    if (r.kind === 'ok' && r.report === null) {
-      this.context.log('warn', "a worker's answer can not be read", { machine: m.name });
-      r = { kind: 'lost' };
-    }
-    if (r.kind === 'ok' || r.kind === 'stale') {
-      this.work.answeredAt = now;
-      this.work.unanswered.clear();
-      m.lostCount = 0;
-      m.lostSince = -1;
-    } else {
-      if (this.work.heardLately(m, now)) this.work.unanswered.add(m.name);
-      m.lostCount++;
-      if (m.lostSince < 0) m.lostSince = now;
-    }
-    if (r.kind === 'ok') {
-      if (r.report) this.reports.observe(m, r.report, now, c.seen);
-      for (const p of c.sent) {
-        if (p.phase === 'sent' && p.machine === m && m.placements.get(taskKey(p.job.spec.id, p.index, p.attempt)) === p)
-          this.work.free(p);
-      }
-      if (c.probe && !m.resolved) {
-        m.resolved = true;
-        m.suspect = false;
-        // Under the new token nothing older can start any more: what the report lacks isn't there.
-        for (const p of [...m.placements.values()]) if (p.phase === 'sent') this.work.free(p);
-      }
-      return;
-    }
-    if (r.kind === 'stale') {
-      for (const p of c.sent) this.work.unsend(p);
-      if (r.report) {
-        this.reports.observe(m, r.report, now, c.seen);
-        if (r.report.token > this.context.table.token(m)) m.retryAt = now + 1000;
-      }
-      return;
+    if (!isProbe || !machine.resolved || machine.lostCount > 0) this.work.wantPlan = true;
+    if (!this.work.held.has(machine.share)) return;
+    if (!('report' in result)) return this.unanswered(command, result.kind, now);
+    if (result.kind === 'ok' && result.report === null) {
+      // Executed, but what is there now can't be read: as good as no answer.
+      this.context.log('warn', "a worker's answer can not be read", { machine: machine.name });
+      return this.unanswered(command, 'lost', now);
     }
-    m.retryAt = now + 700;
-    if (r.kind === 'refused') {
-      for (const p of c.sent) this.work.unsend(p);
-      for (const p of m.placements.values()) p.stopSentAt = -1e12;
-      return;
-    }
-    for (const p of m.placements.values()) p.stopSentAt = -1e12;
-    // An empty probe that is executed late does nothing.
-    if (!c.probe) m.dirty = true;
+    this.work.answeredAt = now;
+    this.work.unanswered.clear();
+    machine.lostCount = 0;
+    machine.lostSince = -1;
+    if (result.kind === 'ok') this.carriedOut(command, result.report, now);
+    else this.notCarriedOut(command, result.report, now);
+  }
+
+  private carriedOut({ machine, starts, isProbe, seen }: CommandUnderWay, report: Report | null, now: Ms): void {
+    if (report) this.reports.observe(machine, report, now, seen);
+    // What was started and isn't reported was there and is gone.
+    for (const placement of starts) if (this.work.isSent(placement)) this.work.free(placement);
+    if (!isProbe || machine.resolved) return;
+    machine.resolved = true;
+    machine.suspect = false;
+    // Under the new token nothing older can start any more: what the report lacks isn't there.
+    for (const placement of [...machine.placements.values()]) if (placement.phase === 'sent') this.work.free(placement);
+  }
+
+  /** The machine is in another session, or has seen a higher token. */
+  private notCarriedOut({ machine, starts, seen }: CommandUnderWay, report: Report | null, now: Ms): void {
+    for (const placement of starts) this.work.unsend(placement);
+    if (!report) return;
+    this.reports.observe(machine, report, now, seen);
+    if (report.token > this.context.table.token(machine)) machine.retryAt = now + HIGHER_TOKEN_RETRY_MS;
+  }
+
+  private unanswered({ machine, starts, isProbe }: CommandUnderWay, kind: 'lost' | 'refused', now: Ms): void {
+    if (this.work.heardLately(machine, now)) this.work.unanswered.add(machine.name);
+    machine.lostCount++;
+    if (machine.lostSince < 0) machine.lostSince = now;
+    machine.retryAt = now + UNANSWERED_RETRY_MS;
+    for (const placement of machine.placements.values()) placement.stopSentAt = NEVER;
+    if (kind === 'refused') for (const placement of starts) this.work.unsend(placement);
+    // It may be carried out late; a question that is does nothing.
+    else if (!isProbe) machine.dirty = true;
   }
 }
--- a/packages/core/src/work.ts
+++ b/packages/core/src/work.ts
@@ -97,12 +97,16 @@
    * is over. Such a start was sent again after the job's cancellation, and a gang that had failed kept its room for ever.
    */
   unsend(p: Placement): void {
-    const key = taskKey(p.job.spec.id, p.index, p.attempt);
-    if (p.phase !== 'sent' || p.machine.placements.get(key) !== p) return;
+    if (!this.isSent(p)) return;
     p.phase = 'planned';
     if (p.stop !== null || p.job.state !== 'live') this.free(p);
   }
 
+  /** Its start is under way, or was not heard of since. */
+  isSent(p: Placement): boolean {
+    return p.phase === 'sent' && p.machine.placements.get(taskKey(p.job.spec.id, p.index, p.attempt)) === p;
+  }
+
   /** Something on it belongs to a cancelled job: it is attended to first. */
   bearsCancelled(m: Machine): boolean {
     for (const p of m.placements.values()) if (p.job.state === 'cancelled' && p.phase !== 'exited') return true;
--- a/packages/core/src/worker-reports.ts
+++ b/packages/core/src/worker-reports.ts
@@ -8,6 +8,7 @@
 import type { Ms } from './model.js';
 import type { Owner } from './owner.js';
 import type { ReportForwarding } from './report-forwarding.js';
+import { stopReported } from './task-commands.js';
 import type { Vouching } from './vouching.js';
 import type { WorkerRouting } from './worker-routing.js';
 
@@ -91,12 +92,8 @@
    * second attempt may be left, which its owner knows nothing of any more.
    */
   private stopsOf(report: Report): Command[] {
-    const stops: Command[] = [];
-    for (const { job, index, attempt, state } of report.tasks) {
-      const isOver = this.context.table.finals.has(job);
-      if (state !== 'exited' && isOver) stops.push({ op: 'stop', job, index, attempt, graceS: 0 });
-    }
-    return stops;
+    const { finals } = this.context.table;
+    return report.tasks.filter(({ job, state }) => state !== 'exited' && finals.has(job)).map(stopReported);
   }
 
   private answer(id: number, status: number, body: unknown): void {
