--- a/packages/core/src/core.ts
+++ b/packages/core/src/core.ts
@@ -138,7 +138,7 @@
   }
 
   reach(): boolean {
-    return this.owner.fleet.reach;
+    return this.owner.fleet.reachability.reachable;
   }
 
   acts(share: number): boolean {
@@ -305,7 +305,7 @@
   /** Whether a worker answered the question that `ask` put. */
   asked(id: number, ok: boolean, now: Ms): void {
     this.now = now;
-    this.owner.fleet.asked(id, ok);
+    this.owner.fleet.reachability.asked(id, ok);
   }
 
   // ---- cloud
--- a/packages/core/src/leader.ts
+++ b/packages/core/src/leader.ts
@@ -33,7 +33,7 @@
       context,
       (machine) => this.grants.pending(machine),
       (now) => this.grants.recent(now),
-      (zone) => owner.fleet.cut(zone),
+      (zone) => owner.fleet.reachability.isCut(zone),
     );
   }
 
--- a/packages/core/src/owner.ts
+++ b/packages/core/src/owner.ts
@@ -160,7 +160,7 @@
     this.work.now = now;
     this.work.answeredAt = now;
     this.work.unanswered.clear();
-    this.fleet.paused();
+    this.fleet.reachability.paused();
     for (const m of this.context.table.machines.values()) {
       m.heardAt = Math.min(now, m.heardAt + ms);
       m.elsewhereAt = Math.min(now, m.elsewhereAt + ms);
@@ -170,7 +170,7 @@
 
   tick(now: Ms): void {
     this.work.now = now;
-    this.fleet.seekReach(now);
+    this.fleet.reachability.seekReach(now);
     if (now - this.lastSummary > 10_000) {
       this.lastSummary = now;
       this.summary(now);
--- a/packages/core/src/status-exchange.ts
+++ b/packages/core/src/status-exchange.ts
@@ -128,7 +128,7 @@
       plenty: leader.leading ? leader.rentals.plenty() : [],
       lead: leader.leading,
       entitled: this.sources.mayAnswerWorkers(now),
-      reach: owner.fleet.reach,
+      reach: owner.fleet.reachability.reachable,
       writes: Math.round(context.writer.wanted(now)),
       storeOk: context.storeOk(now),
       hears: routing.count(now),
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -264,3 +264,13 @@
   );
   assert.equal(c.running('run-a'), 2);
 });
+
+// A new holder that found the work counted its time anew: jobs that are over leave the table of all but their owner.
+test('the time of a cancellation counts from its first reading, whoever finds a task of the job later', () => {
+  const core = new Core(settings('n0'), 'boot');
+  const [key, value] = accepted('run-a');
+  core.changes([{ key, value, stamp: 1 }], 1, 900, 1000);
+  core.changes([{ key, value: cancelled('run-a')[1], stamp: 2 }], 2, 1900, 2000);
+  assert.equal(core.table.jobs.has('run-a'), false, 'nothing is left to do for it here');
+  assert.equal(core.table.recall('run-a', core.replica.get(key), 30_000)?.cancelledAt, 2000);
+});
