--- a/test/cluster/controller.ts
+++ b/test/cluster/controller.ts
@@ -1,6 +1,6 @@
 // A controller: a real core of some version, with its edges simulated.
 import { Core, type Effect } from '@archpost/core';
-import { decodePeer, encodePeer, type JobSpec, type PeerMessage, type PeerStatus, type Report } from '@archpost/wire';
+import { decodePeer, encodePeer, type JobSpec, type PeerMessage, type PeerStatus, type Report, type Row } from '@archpost/wire';
 import type { Cluster } from './cluster.js';
 import { settings, submission, TYPES } from './fixtures.js';
 
@@ -35,6 +35,8 @@
   private permit: number | null = null;
   private renewAt = 0;
   private loadedAt = -1;
+  /** pages read so far of a reading of all keys, and the revision of the first */
+  private loading: { rows: Row[]; revision: number; pages: number } | null = null;
   private boots = 0;
   private answers = new Map<number, (status: number, body: Record<string, unknown>) => void>();
   private nextAnswer = 1;
@@ -66,6 +68,7 @@
     this.permit = null;
     this.renewAt = 0;
     this.loadedAt = -1;
+    this.loading = null;
     this.answers.clear();
     this.asked = 0;
     this.up = true;
@@ -154,17 +157,30 @@
         }
         this.core.leaseState(this.permit, now + 17_900, now);
       }
-      if (this.loadedAt < 0) {
-        this.loadedAt = now;
-        this.core.types(TYPES, now);
-        this.core.loaded(state.rows(), state.revision, now);
-      }
-      if (!this.lagging) this.core.changes(state.since(this.core.replica.revision), state.revision, now, now);
+      const isBehind = this.loadedAt >= 0 && !this.lagging && state.hasForgotten(this.core.replica.revision);
+      if (this.loadedAt < 0 || isBehind) this.loadPage(now);
+      else if (!this.lagging) this.core.changes(state.since(this.core.replica.revision), state.revision, now, now);
     }
     this.core.tick(now);
     this.run();
   }
 
+  /** Reads a page of all keys; with the last one the core gets them all. */
+  private loadPage(now: number): void {
+    const { state } = this.cluster;
+    if (this.loading === null) this.loading = { rows: [], revision: state.revision, pages: 0 };
+    const { rows, revision } = this.loading;
+    this.loading.pages++;
+    const isLast = this.loading.pages >= state.pages;
+    rows.push(...(state.pages === 1 ? state.rows() : state.page(rows.at(-1)?.key ?? '', isLast)));
+    if (!isLast) return;
+    this.loading = null;
+    if (this.loadedAt < 0) this.core.types(TYPES, now);
+    this.loadedAt = now;
+    this.core.loaded(rows, revision, now);
+    if (!this.lagging) this.core.changes(state.since(revision), state.revision, now, now);
+  }
+
   run(): void {
     for (const e of this.core.drain()) this.effect(e);
   }
--- a/test/cluster/state-service.ts
+++ b/test/cluster/state-service.ts
@@ -25,6 +25,10 @@
   /** changes refused because they were too many, and transactions refused as too large */
   limited = 0;
   tooLarge = 0;
+  /** changes that a watch can still be given; whoever is further behind has to read all keys again */
+  changesKept = Number.POSITIVE_INFINITY;
+  /** pages in which all keys are read, each at its own time */
+  pages = 1;
   readonly keys = new Map<string, Key>();
   readonly log: Change[] = [];
   readonly leases = new Map<number, { until: number; ttl: number }>();
@@ -101,6 +105,20 @@
     return this.log.slice(first);
   }
 
+  /** The changes after this revision are known no more. */
+  hasForgotten(revision: number): boolean {
+    const oldest = this.log[this.log.length - this.changesKept - 1];
+    return oldest !== undefined && oldest.stamp > revision;
+  }
+
+  /** A page of all keys in their order, beginning after `since`; the last page bears all that are left. */
+  page(since: string, isLast: boolean): Row[] {
+    const rows = this.rows()
+      .filter((row) => row.key > since)
+      .sort((a, b) => (a.key < b.key ? -1 : 1));
+    return isLast ? rows : rows.slice(0, Math.ceil(this.keys.size / this.pages));
+  }
+
   rows(): Row[] {
     return [...this.keys].map(([key, k]) => ({ key, value: k.value, stamp: k.stamp }));
   }
--- /dev/null
+++ b/test/walk/troubles.ts
@@ -0,0 +1,207 @@
+// Troubles that meet in a walk, and what undoes each of them.
+import type { Cluster } from '../stand-ins.js';
+import type { Random } from './random.js';
+
+export const TROUBLES = [
+  'outage',
+  'refused',
+  'crash',
+  'crash all',
+  'bounce',
+  'freeze',
+  'hang',
+  'deaf',
+  'mute',
+  'commands lost',
+  'commands late',
+  'zone cut',
+  'peers cut',
+  'alone with its workers',
+  'lost answers',
+  'late writes',
+  'slow answers',
+  'watch lags',
+  'late reports',
+  'cloud down',
+  'machine dies',
+  'machines begin again',
+  'cancel now',
+] as const;
+export type Trouble = (typeof TROUBLES)[number];
+
+/** Most copies of reports that are kept for the next holder. */
+const COPIES_KEPT = 200;
+
+export class Troubles {
+  /** what undoes each trouble under way */
+  private readonly undo: { at: number; run: () => void }[] = [];
+  private copies: 'none' | 'late' | 'for the next leader' = 'none';
+  private readonly kept: (() => void)[] = [];
+  private holders = '';
+
+  constructor(
+    private readonly c: Cluster,
+    private readonly random: Random,
+    /** users call off what they submitted lately */
+    private readonly cancelNow: () => void,
+  ) {
+    this.c.reported = (r) => {
+      if (this.copies === 'none' || this.random.next() > 0.2) return;
+      const copy = structuredClone(r);
+      const send = () => {
+        for (const n of this.c.nodes) if (n.up) n.report(copy, () => {});
+      };
+      if (this.copies === 'late') this.c.at(this.c.now + 2000 + 20_000 * this.random.next(), send);
+      else if (this.kept.length < COPIES_KEPT) this.kept.push(send);
+    };
+  }
+
+  /** What is over by now is undone; a copy that was kept comes just as a new holder begins. */
+  step(): void {
+    const due = this.undo.filter((u) => u.at <= this.c.now);
+    for (const u of due) {
+      this.undo.splice(this.undo.indexOf(u), 1);
+      u.run();
+    }
+    if (this.kept.length === 0) return;
+    const holders = JSON.stringify(this.c.nodes.map((n) => [...n.core.holdings.mine]));
+    if (holders !== this.holders) for (const send of this.kept.splice(0)) send();
+    this.holders = holders;
+  }
+
+  /** All troubles are over. */
+  end(): void {
+    for (const u of this.undo.splice(0)) u.run();
+    for (const n of this.c.nodes) {
+      if (!n.up) n.restart();
+      if (n.frozen) n.thaw();
+    }
+    for (const w of this.c.workers) w.hung = false;
+    this.c.note('the troubles are over');
+  }
+
+  private after(seconds: number, run: () => void): void {
+    this.undo.push({ at: this.c.now + seconds * 1000, run });
+  }
+
+  /** One of them begins, for so many seconds. */
+  begin(kind: Trouble, s: number): void {
+    const { c } = this;
+    const node = this.random.pick(c.nodes);
+    const live = c.workers.filter((w) => !w.dead);
+    const some = new Set(live.filter(() => this.random.next() < 0.3).map((w) => w.name));
+    c.note(`${kind} for ${s.toFixed(1)} s (${node.name})`);
+    const isNode = (x: string) => x.startsWith('n');
+    switch (kind) {
+      case 'outage':
+        c.stateDown = true;
+        return this.after(s, () => {
+          c.stateDown = false;
+        });
+      case 'refused':
+        node.refused = true;
+        return this.after(s, () => {
+          node.refused = false;
+        });
+      case 'crash':
+      case 'bounce':
+        if (!node.up) return;
+        node.crash();
+        return this.after(kind === 'bounce' ? 0.3 : Math.min(s, 6), () => {
+          if (!node.up) node.restart();
+        });
+      case 'crash all':
+        for (const n of c.nodes) if (n.up) n.crash();
+        for (const n of c.nodes) this.after(0.2 + 4 * this.random.next(), () => (n.up ? undefined : n.restart()));
+        return;
+      case 'freeze':
+        if (!node.up || node.frozen) return;
+        node.freeze();
+        return this.after(s, () => {
+          if (node.up && node.frozen) node.thaw(this.random.next() < 0.3);
+        });
+      case 'hang': {
+        const w = this.random.pick(live);
+        w.hung = true;
+        return this.after(Math.min(s, 11) * this.random.next() + 1, () => {
+          w.hung = false;
+        });
+      }
+      case 'deaf':
+        c.deaf = (_n, m) => some.has(m);
+        return this.after(s, () => {
+          c.deaf = () => false;
+        });
+      case 'mute':
+        c.mute = (m) => some.has(m);
+        return this.after(s, () => {
+          c.mute = () => false;
+        });
+      case 'commands lost':
+      case 'commands late':
+        c.commandsLost = (_n, m) => some.has(m);
+        if (kind === 'commands late') c.lateMs = () => 1000 + 30_000 * this.random.next();
+        return this.after(s, () => {
+          c.commandsLost = () => false;
+          c.lateMs = null;
+        });
+      case 'zone cut': {
+        const west = (x: string) => x === 'n1' || c.worker(x)?.zone === 'west';
+        c.cut = (a, b) => west(a) !== west(b);
+        return this.after(s, () => {
+          c.cut = () => false;
+        });
+      }
+      case 'peers cut':
+      case 'alone with its workers':
+        c.cut = (a, b) => isNode(a) && isNode(b) && (a === node.name || b === node.name);
+        if (kind === 'alone with its workers') node.refused = true;
+        return this.after(s, () => {
+          c.cut = () => false;
+          if (kind === 'alone with its workers') node.refused = false;
+        });
+      case 'lost answers':
+      case 'late writes':
+        c.loseTxn = (_e, apply) => {
+          if (this.random.next() > 0.3) return false;
+          if (kind === 'lost answers') apply();
+          else c.at(c.now + 2000 + 10_000 * this.random.next(), apply);
+          return true;
+        };
+        return this.after(s, () => {
+          c.loseTxn = null;
+        });
+      case 'slow answers':
+        c.answerMs = () => 10 + 1300 * this.random.next();
+        return this.after(s, () => {
+          c.answerMs = () => 10;
+        });
+      case 'watch lags':
+        node.lagging = true;
+        return this.after(Math.min(s, 6), () => {
+          node.lagging = false;
+        });
+      case 'late reports':
+        this.copies = this.random.next() < 0.5 ? 'late' : 'for the next leader';
+        return this.after(s, () => {
+          this.copies = 'none';
+        });
+      case 'cloud down':
+        c.cloudDown = true;
+        return this.after(s, () => {
+          c.cloudDown = false;
+        });
+      case 'machine dies': {
+        const w = this.random.pick(live);
+        w.dead = true;
+        w.tasks.clear();
+        return;
+      }
+      case 'machines begin again':
+        for (const w of live) if (some.has(w.name) && !w.hung) w.reboot();
+        return;
+      case 'cancel now':
+        this.cancelNow();
+    }
+  }
+}
--- /dev/null
+++ b/test/walk/users.ts
@@ -0,0 +1,275 @@
+// The users of a walk: what they submit, ask and call off, and what they were told.
+import type { JobSpec } from '@archpost/wire';
+import { type Cluster, job, type Node } from '../stand-ins.js';
+import type { Random } from './random.js';
+
+/** What users were told of a job, by whichever controller. */
+export interface Told {
+  accepted: boolean;
+  final: 'done' | 'aborted' | null;
+  cancelAsked: boolean;
+  /** the last time that anybody got an answer about it */
+  answeredAt: number;
+}
+
+const TEAMS = ['red', 'blue', 'green'] as const;
+
+/** Work that comes at full rate. */
+export interface WalkLoad {
+  /** chains of four to seven jobs, submitted one after another */
+  chainsPerS: number;
+  /** jobs of one task */
+  singlesPerS: number;
+  /** part of the singles that is cancelled, and of the chains, at any of their jobs */
+  cancelled: number;
+}
+
+export interface UserOptions {
+  /** jobs that await others */
+  pipelines?: boolean;
+  /** work at full rate, beside what users do anyway */
+  load?: WalkLoad;
+}
+
+/** Jobs that await one another, submitted one by one. */
+interface Chain {
+  ids: string[];
+  /** how many there will be */
+  length: number;
+  team: string;
+}
+
+/** Several users, who come to any controller. */
+export class Users {
+  readonly told = new Map<string, Told>();
+  private jobs = 0;
+  private chains: Chain[] = [];
+  private readonly toCancel = new Set<string>();
+
+  constructor(
+    private readonly c: Cluster,
+    private readonly random: Random,
+    private readonly options: UserOptions,
+    /** nothing new is asked before all controllers have the present version */
+    private readonly mayAskNewThings: () => boolean,
+  ) {}
+
+  private node(): Node | undefined {
+    const up = this.c.nodes.filter((n) => n.up);
+    return up.length > 0 ? this.random.pick(up) : undefined;
+  }
+
+  /** Compares an answer with what was told before it was asked for. */
+  private hears(id: string, before: Told, status: number, said: string): void {
+    if (status === 503 || status === 429) return;
+    const t = this.told.get(id) as Told;
+    t.answeredAt = this.c.now;
+    if (before.accepted && (status === 404 || status === 400 || status === 422))
+      this.c.broken(`forgotten: ${id} answered ${status}`);
+    // No user of a walk submits what can't run, nor names what was never accepted.
+    if (status === 422) this.c.broken(`forgotten: ${id} refused`);
+    if (status !== 200 && status !== 201) return;
+    if (before.final && said !== before.final) this.c.broken(`went_back: ${id} was ${before.final}, is called ${said}`);
+    if (said === 'aborted' && !this.mayBeCancelled(id)) this.c.broken(`went_back: ${id} called cancelled, its user didn't`);
+    if (said === 'done') {
+      const spec = this.c.specs.get(id);
+      const all = spec ? Array.from({ length: spec.tasks }, (_, i) => this.c.finished.has(`${id}/${i}`)) : [];
+      if (!(spec?.shape === 'gang' ? all.some((x) => x) : all.every((x) => x))) this.c.broken(`not_done: ${id} is called done`);
+    }
+    if (said === 'done' || said === 'aborted') t.final = said;
+    t.accepted = true;
+    this.c.rules.told(id, said);
+  }
+
+  /** Its user asked to cancel it, or one that it needs. */
+  private mayBeCancelled(id: string): boolean {
+    return this.told.get(id)?.cancelAsked === true || this.awaited(id).some((other) => this.mayBeCancelled(other));
+  }
+
+  /** A job that it needs was told to be cancelled. */
+  needsCancelled(id: string): boolean {
+    return this.awaited(id).some((other) => this.told.get(other)?.final === 'aborted' || this.needsCancelled(other));
+  }
+
+  private awaited(id: string): string[] {
+    return this.c.awaits.get(id) ?? [];
+  }
+
+  /** Half of the jobs need a few of those that were accepted lately, in whatever state these are. */
+  private chooseAwaited(id: string): void {
+    if (!this.options.pipelines || !this.mayAskNewThings() || this.random.next() < 0.5) return;
+    const known = [...this.told].filter(([other, t]) => t.accepted && this.c.specs.get(other)?.shape !== 'service').slice(-8);
+    if (known.length === 0) return;
+    const names = Array.from({ length: 1 + this.random.below(3) }, () => this.random.pick(known)[0]);
+    this.c.awaits.set(id, [...new Set(names)]);
+  }
+
+  asks(kind: 'submit' | 'poll' | 'cancel', id: string, n = this.node()): void {
+    const spec = this.c.specs.get(id);
+    const t = this.told.get(id);
+    if (!n || !spec || !t) return;
+    const before = { ...t };
+    if (kind === 'cancel') t.cancelAsked = true;
+    const then = (status: number, body: Record<string, unknown>) => this.hears(id, before, status, String(body.status));
+    if (kind === 'submit') n.submit(spec, then);
+    else if (kind === 'poll') n.poll(id, then);
+    else n.cancel(id, then);
+  }
+
+  private newJob(): void {
+    const id = `run-w${this.jobs++}`;
+    const team = this.random.pick(TEAMS);
+    const kind = this.random.next();
+    const common = {
+      team,
+      rank: this.random.below(4),
+      zone: this.random.next() < 0.1 ? this.random.pick(['east', 'west']) : null,
+    };
+    if (kind < 0.4)
+      this.c.specs.set(id, job(id, { ...common, tasks: 1 + this.random.below(4), estimateS: 1 + this.random.below(15) }));
+    else if (kind < 0.55)
+      this.c.specs.set(
+        id,
+        job(id, { ...common, tasks: 1 + this.random.below(3), estimateS: 60 + this.random.below(60), types: ['small'] }),
+      );
+    else if (kind < 0.7)
+      this.c.specs.set(
+        id,
+        job(id, {
+          ...common,
+          zone: null,
+          rank: 3,
+          cls: 'serve',
+          shape: 'service',
+          tasks: 1 + this.random.below(2),
+          spread: this.random.next() < 0.5,
+        }),
+      );
+    else if (kind < 0.85)
+      this.c.specs.set(
+        id,
+        job(id, { ...common, shape: 'gang', gpus: 8, cpus: 20, memory: 60, estimateS: 5 + this.random.below(30) }),
+      );
+    else
+      this.c.specs.set(
+        id,
+        job(id, {
+          ...common,
+          shape: 'gang',
+          tasks: 2 + this.random.below(2),
+          cpus: 2,
+          estimateS: 8,
+          oneZone: this.random.next() < 0.5,
+        }),
+      );
+    this.chooseAwaited(id);
+    this.told.set(id, { accepted: false, final: null, cancelAsked: false, answeredAt: this.c.now });
+    this.asks('submit', id);
+  }
+
+  /** Work at full rate: chains whose jobs are submitted as soon as those before are accepted, and jobs of one task. */
+  private fullLoad({ chainsPerS, singlesPerS, cancelled }: WalkLoad): void {
+    const perStep = (rate: number) => this.random.next() < rate / 10;
+    if (perStep(singlesPerS)) {
+      const id = this.submitNew({
+        tasks: 1,
+        estimateS: 2 + this.random.below(20),
+        cpus: 1,
+        memory: 1,
+        rank: this.random.below(3),
+      });
+      if (this.random.next() < cancelled) this.cancelLater([id]);
+    }
+    if (this.mayAskNewThings() && perStep(chainsPerS)) {
+      const ids: string[] = [];
+      this.chains.push({ ids, length: 4 + this.random.below(4), team: this.random.pick(TEAMS) });
+      if (this.random.next() < cancelled) this.cancelLater(ids);
+    }
+    for (const chain of this.chains) this.continueChain(chain);
+    this.chains = this.chains.filter((chain) => chain.ids.length < chain.length);
+  }
+
+  /** The next job of a chain awaits one or two of those before it, the last of them among these. */
+  private continueChain({ ids, team }: Chain): void {
+    const last = ids.at(-1);
+    if (last !== undefined && !this.told.get(last)?.accepted) {
+      if (this.random.next() < 0.1) this.asks('submit', last);
+      return;
+    }
+    const awaits = last === undefined ? [] : [...new Set([last, this.random.pick(ids)])];
+    const shape = this.random.next() < 0.2 ? 'gang' : 'array';
+    ids.push(
+      this.submitNew(
+        {
+          team,
+          shape,
+          tasks: 1 + this.random.below(3),
+          estimateS: 1 + this.random.below(8),
+          cpus: 1,
+          memory: 1,
+          rank: this.random.below(2),
+        },
+        awaits,
+      ),
+    );
+  }
+
+  private submitNew(over: Partial<JobSpec>, awaits: string[] = []): string {
+    const id = `run-w${this.jobs++}`;
+    this.c.specs.set(id, job(id, { team: this.random.pick(TEAMS), ...over }));
+    if (awaits.length > 0) this.c.awaits.set(id, awaits);
+    this.told.set(id, { accepted: false, final: null, cancelAsked: false, answeredAt: this.c.now });
+    this.asks('submit', id);
+    return id;
+  }
+
+  /** Any of the jobs that there are by then. */
+  private cancelLater(ids: string[]): void {
+    this.c.at(this.c.now + 500 + 15_000 * this.random.next(), () => {
+      const id = this.random.pick(ids);
+      if (id !== undefined) this.toCancel.add(id);
+    });
+  }
+
+  /** Whoever wants a job cancelled asks until it is over; whoever waits for one asks now and then. */
+  private persist(): void {
+    for (const id of this.toCancel) {
+      if (this.told.get(id)?.final !== null) this.toCancel.delete(id);
+      else if (this.random.next() < 0.05) this.asks('cancel', id);
+    }
+    const open = [...this.told].filter(([, t]) => t.accepted && t.final === null);
+    for (let i = 0; i < open.length / 50; i++) this.asks('poll', this.random.pick(open)[0]);
+  }
+
+  /** What users do in a tenth of a second. */
+  step(): void {
+    if (this.options.load) {
+      this.fullLoad(this.options.load);
+      this.persist();
+    }
+    if (this.random.next() < 0.1) this.newJob();
+    const ids = [...this.told.keys()];
+    if (ids.length === 0) return;
+    const late = ids.slice(-12);
+    if (this.random.next() < 0.2) this.asks('poll', this.random.pick(late));
+    if (this.random.next() < 0.1) this.asks('poll', this.random.pick(ids));
+    // Close looks: at all controllers at once.
+    if (this.random.next() < 0.1) {
+      const id = this.random.pick(late);
+      for (const n of this.c.nodes) if (n.up) this.asks(this.random.next() < 0.3 ? 'submit' : 'poll', id, n);
+    }
+    if (this.random.next() < 0.05) this.asks('submit', this.random.pick(ids));
+    if (this.random.next() < 0.025) this.asks('cancel', this.random.pick(late));
+    // Whoever was not accepted, or not told that it is cancelled, asks again.
+    for (const id of late) {
+      const t = this.told.get(id) as Told;
+      if (!t.accepted && this.random.next() < 0.1) this.asks('submit', id);
+      if (t.cancelAsked && t.final === null && this.random.next() < 0.1) this.asks('cancel', id);
+    }
+  }
+
+  /** All who submitted something lately that runs call it off. */
+  cancelLately(): void {
+    for (const [id, t] of [...this.told].slice(-6)) if (t.accepted && !t.final) this.asks('cancel', id);
+  }
+}
--- a/test/walks.test.ts
+++ b/test/walks.test.ts
@@ -22,6 +22,7 @@
   machines: { small: 240, big: 24 },
   next: { valueKb: 2, txnOps: 4, writeRps: 15 },
   inputsPerTick: 60,
+  state: { changesKept: 500, pages: 3 },
   load: { chainsPerS: 1, singlesPerS: 4, cancelled: 0.5 },
   tune: (s) => ({
     ...s,
