A cancellation looks once at each job that the cancelled ones awaited; new edges only raise what is inherited

Each of n jobs that were cancelled together, or came one by one, had all the others gone through that need the same job: n squared steps.

--- a/packages/core/src/dependencies.ts
+++ b/packages/core/src/dependencies.ts
@@ -44,7 +44,9 @@
       if (final === 'done') this.noteEnd(job, id);
       else this.link(job, id);
     }
-    this.refresh(job);
+    // Jobs that need it may have been read first.
+    this.inherit(job);
+    this.passOn(job);
     return [];
   }
 
@@ -57,7 +59,7 @@
 
   /** A job's stored state became final. */
   ended(id: string, final: FinalState, endedAt: Ms | null): Consequences {
-    if (final === 'cancelled') return { released: [], cancelled: this.cancelDependents([id]) };
+    if (final === 'cancelled') return { released: [], cancelled: this.cancelDependents(id) };
     if (endedAt !== null) this.endedAt.set(id, endedAt);
     const released: Job[] = [];
     for (const job of this.dependents.get(id) ?? []) {
@@ -71,65 +73,89 @@
 
   /** Cancelled by its own user: what it awaits has one job less that needs it. */
   unlink(job: Job): void {
-    const awaited = [...job.awaited];
-    job.awaited.clear();
-    for (const id of awaited) {
+    for (const before of this.removeEdges(job)) this.refresh(before);
+  }
+
+  /** Returns the jobs that it awaited. */
+  private removeEdges(job: Job): Job[] {
+    const before = this.awaitedBy(job);
+    for (const id of job.awaited) {
       const waiting = this.dependents.get(id);
       waiting?.delete(job);
       if (waiting?.size === 0) this.dependents.delete(id);
     }
-    for (const id of awaited) {
-      const before = this.jobs.get(id);
-      if (before) this.refresh(before);
-    }
+    job.awaited.clear();
+    return before;
   }
 
   private cancel(job: Job): Job[] {
-    this.markCancelled(job);
-    return [job, ...this.cancelDependents([job.spec.id])];
+    return this.cancelAll([job]);
   }
 
-  /** All jobs that need one of these, directly or through others. */
-  private cancelDependents(ids: string[]): Job[] {
+  /** All jobs that need this one, directly or through others. */
+  private cancelDependents(id: string): Job[] {
+    const waiting = [...(this.dependents.get(id) ?? [])];
+    this.dependents.delete(id);
+    return this.cancelAll(waiting);
+  }
+
+  /** These and all that need them. What else they awaited is looked at once, however many there are. */
+  private cancelAll(first: readonly Job[]): Job[] {
     const cancelled: Job[] = [];
-    for (let id = ids.pop(); id !== undefined; id = ids.pop()) {
-      const waiting = this.dependents.get(id) ?? [];
-      this.dependents.delete(id);
-      for (const job of waiting) {
-        // What is over has no edges; were one left, nothing that is over would become anything else.
-        if (job.state !== 'live') continue;
-        this.markCancelled(job);
-        cancelled.push(job);
-        ids.push(job.spec.id);
-      }
+    const needLess = new Set<Job>();
+    const open = [...first];
+    for (let job = open.pop(); job !== undefined; job = open.pop()) {
+      // What is over has no edges; were one left, nothing that is over would become anything else.
+      if (job.state !== 'live') continue;
+      job.state = 'cancelled';
+      this.finals.set(job.spec.id, 'cancelled');
+      cancelled.push(job);
+      for (const before of this.removeEdges(job)) needLess.add(before);
+      for (const dependent of this.dependents.get(job.spec.id) ?? []) open.push(dependent);
+      this.dependents.delete(job.spec.id);
     }
+    for (const before of needLess) if (before.state === 'live') this.refresh(before);
     return cancelled;
   }
 
-  private markCancelled(job: Job): void {
-    job.state = 'cancelled';
-    this.finals.set(job.spec.id, 'cancelled');
-    this.unlink(job);
-  }
-
   private noteEnd(job: Job, id: string): void {
     job.readyAt = Math.max(job.readyAt, this.endedAt.get(id) ?? 0);
   }
 
   // ---- inherited priority and deadline
 
+  /** New edges only raise what the jobs before have from this one: nothing else that needs them is looked at. */
+  private passOn(job: Job): void {
+    const raised = new Set<Job>([job]);
+    for (const next of this.inOrder(job)) {
+      if (!raised.has(next)) continue;
+      for (const before of this.awaitedBy(next)) if (this.takeFrom(before, next)) raised.add(before);
+    }
+  }
+
+  private awaitedBy(job: Job): Job[] {
+    return [...job.awaited].flatMap((id) => this.jobs.get(id) ?? []);
+  }
+
+  /** The job gets the priority and the deadline of one that needs it, where these are higher and earlier. */
+  private takeFrom(job: Job, dependent: Job): boolean {
+    const startBy = dependent.endBy - expectedMs(dependent);
+    const isEarlier = startBy < job.endBy;
+    if (!isEarlier && dependent.rank <= job.rank) return false;
+    job.rank = Math.max(job.rank, dependent.rank);
+    if (isEarlier) {
+      job.endBy = startBy;
+      job.endBySpan = dependent.endBySpan;
+    }
+    return true;
+  }
+
   /** Works out anew what the job has from those that need it, and what the jobs before it have from it. */
   private refresh(job: Job): void {
     const stale = new Set<Job>([job]);
     for (const next of this.inOrder(job)) {
       if (!stale.has(next)) continue;
-      const changed = this.inherit(next);
-      // The first may have edges that are new, though nothing of its own has changed.
-      if (!changed && next !== job) continue;
-      for (const id of next.awaited) {
-        const before = this.jobs.get(id);
-        if (before) stale.add(before);
-      }
+      if (this.inherit(next)) for (const before of this.awaitedBy(next)) stale.add(before);
     }
   }
 
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -1,10 +1,11 @@
 // What broke a rule at production size, or could have: docs/meetings.md, "Rules that broke".
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { Core, Replica } from '@archpost/core';
+import { Core, type Job, Replica } from '@archpost/core';
 import type { JobSpec } from '@archpost/wire';
 import { Inbox } from '../packages/server/src/inbox.js';
 import { Cluster, holderOf, job, type Node, settings, shareOf, smallCluster, type WorkerStandIn } from './stand-ins.js';
+import { Random } from './walk/random.js';
 
 /** Each of these breaks a rule on purpose: the judge of the stand-ins must see it. */
 const PLANTED: { rule: RegExp; plant: (c: Cluster, w: WorkerStandIn) => void }[] = [
@@ -316,3 +317,47 @@
     for (const n of c.nodes) c.until('told', () => c.ask('run-b', n) === 'done', 10);
   }
 });
+
+/** What the jobs that need it give to a job, worked out by the definition alone. */
+function inherited(id: string, specs: Map<string, JobSpec>, awaits: Map<string, string[]>): { rank: number; endBy: number } {
+  const spec = specs.get(id) as JobSpec;
+  let rank = spec.rank;
+  let endBy = spec.deadlineS === null ? Number.POSITIVE_INFINITY : spec.deadlineS * 1000;
+  for (const [other, names] of awaits) {
+    if (!names.includes(id)) continue;
+    const from = inherited(other, specs, awaits);
+    const { estimateS, imageGb } = specs.get(other) as JobSpec;
+    rank = Math.max(rank, from.rank);
+    endBy = Math.min(endBy, from.endBy - (estimateS + imageGb) * 1000);
+  }
+  return { rank, endBy };
+}
+
+// Edges that come raise what is inherited step by step, those that go are worked out anew: both must agree with the definition.
+test('inherited priorities and deadlines are what the definition says, in any order and after cancellations', () => {
+  for (let seed = 1; seed <= 30; seed++) {
+    const random = new Random(seed);
+    const specs = new Map<string, JobSpec>();
+    const awaits = new Map<string, string[]>();
+    for (let i = 0; i < 14; i++) {
+      const id = `run-${i}`;
+      const deadlineS = random.isUnder(0.4) ? 100 + random.below(900) : null;
+      specs.set(id, job(id, { rank: random.below(4), estimateS: 1 + random.below(60), deadlineS }));
+      const names = Array.from({ length: Math.min(i, random.below(4)) }, () => `run-${random.below(i)}`);
+      awaits.set(id, [...new Set(names)]);
+    }
+    const core = new Core(settings('n0'), 'boot');
+    const order = [...specs.keys()].sort(() => random.next() - 0.5);
+    order.forEach((id, i) => {
+      core.replica.set(`a/j/${id}`, { s: 3, t: 0, sp: specs.get(id), aw: awaits.get(id) }, i + 1);
+    });
+    // One that others may need, and one that nobody does.
+    for (const [i, gone] of [`run-${random.below(14)}`, 'run-13'].entries())
+      core.replica.set(`a/j/${gone}`, { s: 2, t: 0, sp: specs.get(gone) }, 100 + i);
+    for (const [id, state] of core.table.finals) if (state === 'cancelled') awaits.delete(id);
+    for (const id of awaits.keys()) {
+      const { rank, endBy } = core.table.jobs.get(id) as Job;
+      assert.deepEqual({ rank, endBy }, inherited(id, specs, awaits), `seed ${seed}: ${id}`);
+    }
+  }
+});
