--- a/test/upgrade.test.ts
+++ b/test/upgrade.test.ts
@@ -4,7 +4,7 @@
 import { readFileSync, writeFileSync } from 'node:fs';
 import { test } from 'node:test';
 import { Core } from '@archpost/core';
-import { decodePeer, encodePeer, type Row } from '@archpost/wire';
+import { decodePeer, encodePeer, type JobSpec, type Row } from '@archpost/wire';
 import { Cluster, holderOf, job, kept, type Node, settings, shareOf, type Version } from './stand-ins.js';
 import * as production from './upgrade/production-core.mjs';
 import { Walk } from './walk.js';
@@ -319,3 +319,45 @@
     }
   }
 });
+
+/** One controller has the present version; a chain is asked for all the same, its second job at an old one. */
+function chainAskedTooSoon(): Cluster {
+  const { c, present } = oldCluster();
+  upgrade(c.node('n0'), present);
+  c.run(10);
+  c.submit(job('run-a', { team: 'blue', estimateS: 30 }), c.node('n0'));
+  c.specs.set('run-b', job('run-b', { estimateS: 300 }));
+  c.awaits.set('run-b', ['run-a']);
+  return c;
+}
+
+// LATER.md promises that nothing new is asked before all controllers are new. Where a roll outlasts that promise, these
+// are the rules that break: what the old version accepts has lost its `awaits` before it is stored.
+test('a chain that is asked of an old controller breaks too_early, orphaned and ran_cancelled; asked of a new one, none', () => {
+  const submitB = (c: Cluster, to: string) => c.node(to).submit(c.specs.get('run-b') as JobSpec, () => {});
+  const early = chainAskedTooSoon();
+  submitB(early, 'n1');
+  assert.throws(() => early.run(20), /too_early: run-b\/0 starts before run-a is done/);
+  assert.equal('aw' in (early.state.keys.get('a/j/run-b')?.value as object), false, 'nothing tells what it awaits');
+
+  const late = chainAskedTooSoon();
+  submitB(late, 'n1');
+  // The judge learns only later what it awaits: it would end the test at the start.
+  late.awaits.delete('run-b');
+  late.until('it runs', () => late.running('run-b') === 1, 20);
+  late.cancel('run-a', late.node('n0'));
+  late.run(35);
+  const said = late.ask('run-b', late.node('n1'));
+  late.awaits.set('run-b', ['run-a']);
+  late.now += 2000;
+  assert.throws(() => late.rules.told('run-b', said), /orphaned: run-b is called running/);
+  assert.throws(() => late.run(1), /ran_cancelled: run-b on/);
+
+  const right = chainAskedTooSoon();
+  submitB(right, 'n0');
+  right.run(1);
+  right.cancel('run-a', right.node('n0'));
+  right.run(40);
+  assert.equal(right.ask('run-b', right.node('n0')), 'aborted');
+  assert.deepEqual(right.on('run-b'), []);
+});
