--- a/test/cluster/rules.ts
+++ b/test/cluster/rules.ts
@@ -73,6 +73,8 @@
   /** When a user was first told that the job, or one that it needs directly or through others, is cancelled. */
   private cancelledAt(id: string): number | undefined {
     let earliest = this.cluster.cancelledAt.get(id);
+    // It is asked for every task at every step: most jobs await none.
+    if (!this.cluster.awaits.has(id)) return earliest;
     const seen = new Set([id]);
     const open = [...(this.cluster.awaits.get(id) ?? [])];
     for (let other = open.pop(); other !== undefined; other = open.pop()) {
