--- a/packages/core/src/writer.ts
+++ b/packages/core/src/writer.ts
@@ -3,58 +3,36 @@
 import type { Effect, Ms } from './model.js';
 import type { Replica } from './replica.js';
 import { encodedBytes, type StateSizes } from './state-limits.js';
+import { type PendingWrite, type QueuedWrite, URGENCY, WriteQueue } from './write-queue.js';
 
-/**
- * Which writes go first. Users' answers wait for what they asked for, so neither may stand
- * behind a hundred grants; acceptances take half of a transaction at most while others wait.
- */
-export const URGENCY = {
-  holding: 0,
-  cancel: 1,
-  accept: 2,
-  /** grants, moves, and jobs that are done */
-  grant: 3,
-  /** tokens to raise, grants to drop, a controller's presence: like grants once they have waited */
-  release: 4,
-  progress: 5,
-  images: 6,
-} as const;
+export { type PendingWrite, URGENCY, type WriteOutcome } from './write-queue.js';
 
-/** After this long a release counts as a grant. */
-const RELEASE_MS = 300;
+/** Transactions under way at once. */
+const MOST_UNDER_WAY = 3;
 
-/** `dropped`: it was given up, and was not carried out. */
-export type WriteOutcome = 'ok' | 'conflict' | 'dropped';
+/** A transaction bears values of this size together, or a single one. */
+const TRANSACTION_BYTES = 40_000;
 
-export interface PendingWrite {
-  key: string;
-  /** evaluated when sent first; undefined removes the key */
-  value: (now: Ms) => unknown;
-  /** stamp that the key must still have; 0: must not exist */
-  guard: number;
-  also?: Guard[];
-  /** attached to our state lease */
-  leased?: boolean;
-  /** smaller goes first */
-  urgency: number;
-  /** what hangs on it has to be done as soon as what users ask for, whatever its urgency was at first */
-  pressing?: () => boolean;
-  /** dropped unsent after this time */
-  until?: Ms;
-  done: (outcome: WriteOutcome, stamp: number) => void;
-}
+/** Conditions in a transaction for each change that it may bear; the service takes four. */
+const GUARDS_PER_CHANGE = 3;
 
 /** As the state service returns it: without fields that have no value. */
 const plain = (v: unknown): unknown => JSON.parse(JSON.stringify(v));
 
-interface Queued extends PendingWrite {
-  /** an earlier send got no answer: it may be applied yet, or be applied already */
-  uncertain: boolean;
-  /** the state service did not take it together with others */
-  alone: boolean;
-  /** when it was queued */
-  at: Ms;
-  sentValue: unknown;
+/** One transaction in the making. */
+interface Batch {
+  writes: QueuedWrite[];
+  keys: Set<string>;
+  /** stamps that keys must still have */
+  guards: Map<string, number>;
+  bytes: number;
+  /** changes that it may bear, and of these acceptances */
+  room: number;
+  acceptances: number;
+}
+
+function guardsOf(write: QueuedWrite): Guard[] {
+  return [{ key: write.key, stamp: write.guard }, ...(write.also ?? [])];
 }
 
 /**
@@ -64,8 +42,8 @@
  * whether the first was applied.
  */
 export class Writer {
-  private queue: Queued[] = [];
-  private readonly inflight = new Map<number, { batch: Queued[]; lease: number | null }>();
+  private readonly queue = new WriteQueue();
+  private readonly inflight = new Map<number, { batch: QueuedWrite[]; lease: number | null }>();
   private nextId = 1;
   private rate: number;
   private budget: number;
@@ -117,7 +95,7 @@
   }
 
   add(w: PendingWrite): void {
-    this.queue.push({ ...w, uncertain: false, alone: false, sentValue: undefined, at: this.budgetAt });
+    this.queue.add({ ...w, uncertain: false, alone: false, sentValue: undefined, at: this.budgetAt }, this.budgetAt);
   }
 
   flush(now: Ms): void {
@@ -125,91 +103,82 @@
     this.budgetAt = now;
     if (now - this.sweptAt >= 100) this.sweep(now);
     if (now < this.pauseUntil) return;
-    while (this.queue.length > 0 && this.inflight.size < 3 && this.budget >= 1) {
-      this.sortQueue(now);
-      const room = Math.min(this.limits.txnOps, this.budget);
-      const others = this.queue.some((w) => w.urgency === URGENCY.grant || w.urgency === URGENCY.release);
-      let accepts = others ? Math.max(1, Math.floor(room / 2)) : room;
-      const batch: Queued[] = [];
-      const rest: Queued[] = [];
-      const keys = new Set<string>();
-      const guards = new Map<string, number>();
-      let bytes = 0;
-      const oversize: Queued[] = [];
-      for (const w of this.queue) {
-        const wanted = [{ key: w.key, stamp: w.guard }, ...(w.also ?? [])];
-        const fits =
-          batch.length < room &&
-          !(batch.length > 0 && (w.alone || batch[0]?.alone)) &&
-          !(w.urgency === URGENCY.accept && accepts < 1) &&
-          !keys.has(w.key) &&
-          !this.busy.has(w.key) &&
-          bytes < 40_000 &&
-          guards.size + wanted.length <= 3 * this.limits.txnOps &&
-          wanted.every((g) => (guards.get(g.key) ?? g.stamp) === g.stamp) &&
-          !(w.leased && this.lease() === null);
-        if (!fits) {
-          rest.push(w);
-          continue;
-        }
-        // What may have been carried out already is sent again as it was: its own first copy must be known by it.
-        if (!w.uncertain) w.sentValue = w.value(now);
-        const size = encodedBytes(w.key, w.sentValue);
-        if (!w.uncertain && size > this.limits.changeBytes) {
-          oversize.push(w);
-          continue;
-        }
-        if (w.urgency === URGENCY.accept) accepts--;
-        bytes += size;
-        keys.add(w.key);
-        const kind = w.key.slice(2, 3);
-        this.sent.set(kind, (this.sent.get(kind) ?? 0) + 1);
-        for (const g of wanted) guards.set(g.key, g.stamp);
-        batch.push(w);
-      }
-      this.queue = rest;
+    while (this.queue.length > 0 && this.inflight.size < MOST_UNDER_WAY && this.budget >= 1) {
+      const { batch, oversize } = this.choose(now);
       for (const w of oversize) this.giveUpTooLarge(w);
-      if (batch.length === 0 && oversize.length > 0) continue;
-      if (batch.length === 0) return;
-      this.budget -= batch.length;
-      this.wanted(now);
-      this.recent += batch.length;
-      const id = this.nextId++;
-      const lease = this.lease();
-      this.inflight.set(id, { batch, lease });
-      for (const k of keys) this.busy.add(k);
-      this.emit({
-        t: 'txn',
-        id,
-        guards: [...guards].map(([key, stamp]) => ({ key, stamp })),
-        writes: batch.map((w): Write => {
-          if (w.sentValue === undefined) return { del: w.key };
-          return w.leased && lease !== null ? { put: w.key, value: w.sentValue, lease } : { put: w.key, value: w.sentValue };
-        }),
-      });
+      if (batch.writes.length > 0) this.send(batch, now);
+      else if (oversize.length === 0) return;
     }
   }
 
-  /** What comes first is sent first; of two alike, the older. */
-  private sortQueue(now: Ms): void {
-    const urgency = new Map(this.queue.map((w) => [w, this.urgencyNow(w, now)]));
-    const urgencyOf = (w: Queued) => urgency.get(w) ?? w.urgency;
-    this.queue.sort((a, b) => urgencyOf(a) - urgencyOf(b) || a.at - b.at);
+  /** Takes from the queue what goes into the next transaction, and what is too large for any. */
+  private choose(now: Ms): { batch: Batch; oversize: QueuedWrite[] } {
+    const waiting = this.queue.inOrder(now);
+    const batch = this.emptyBatch();
+    const oversize: QueuedWrite[] = [];
+    for (const w of waiting) {
+      if (batch.writes.length >= batch.room || batch.bytes >= TRANSACTION_BYTES) break;
+      if (!this.fits(w, batch)) continue;
+      // What may have been carried out already is sent again as it was: its own first copy must be known by it.
+      if (!w.uncertain) w.sentValue = w.value(now);
+      const size = encodedBytes(w.key, w.sentValue);
+      if (!w.uncertain && size > this.limits.changeBytes) oversize.push(w);
+      else this.put(w, size, batch);
+    }
+    for (const w of [...batch.writes, ...oversize]) this.queue.remove(w);
+    return { batch, oversize };
+  }
+
+  private emptyBatch(): Batch {
+    const room = Math.min(this.limits.txnOps, this.budget);
+    const others = this.queue.count(URGENCY.grant) + this.queue.count(URGENCY.release) > 0;
+    const acceptances = others ? Math.max(1, Math.floor(room / 2)) : room;
+    return { writes: [], keys: new Set(), guards: new Map(), bytes: 0, room, acceptances };
+  }
+
+  private fits(w: QueuedWrite, { writes, keys, guards, acceptances }: Batch): boolean {
+    if (writes.length > 0 && (w.alone || writes[0]?.alone)) return false;
+    if (w.urgency === URGENCY.accept && acceptances < 1) return false;
+    if (keys.has(w.key) || this.busy.has(w.key)) return false;
+    if (w.leased && this.lease() === null) return false;
+    const wanted = guardsOf(w);
+    if (guards.size + wanted.length > GUARDS_PER_CHANGE * this.limits.txnOps) return false;
+    return wanted.every((guard) => (guards.get(guard.key) ?? guard.stamp) === guard.stamp);
+  }
+
+  private put(w: QueuedWrite, size: number, batch: Batch): void {
+    if (w.urgency === URGENCY.accept) batch.acceptances--;
+    batch.bytes += size;
+    batch.keys.add(w.key);
+    for (const { key, stamp } of guardsOf(w)) batch.guards.set(key, stamp);
+    batch.writes.push(w);
+    const kind = w.key.slice(2, 3);
+    this.sent.set(kind, (this.sent.get(kind) ?? 0) + 1);
   }
 
-  private urgencyNow(w: Queued, now: Ms): number {
-    if (w.pressing?.()) return Math.min(w.urgency, URGENCY.cancel);
-    return w.urgency === URGENCY.release && now - w.at > RELEASE_MS ? URGENCY.grant : w.urgency;
+  private send({ writes, keys, guards }: Batch, now: Ms): void {
+    this.budget -= writes.length;
+    this.wanted(now);
+    this.recent += writes.length;
+    const id = this.nextId++;
+    const lease = this.lease();
+    this.inflight.set(id, { batch: writes, lease });
+    for (const key of keys) this.busy.add(key);
+    this.emit({
+      t: 'txn',
+      id,
+      guards: [...guards].map(([key, stamp]) => ({ key, stamp })),
+      writes: writes.map((w): Write => {
+        if (w.sentValue === undefined) return { del: w.key };
+        return w.leased && lease !== null ? { put: w.key, value: w.sentValue, lease } : { put: w.key, value: w.sentValue };
+      }),
+    });
   }
 
   /** Gives up on what has waited too long. */
   private sweep(now: Ms): void {
     this.sweptAt = now;
-    const over = this.queue.filter((w) => w.until !== undefined && now > w.until && !w.uncertain);
-    if (over.length === 0) return;
-    const gone = new Set(over);
-    this.queue = this.queue.filter((w) => !gone.has(w));
-    for (const w of over) w.done('dropped', 0);
+    for (const w of this.queue.takeExpired(now)) w.done('dropped', 0);
   }
 
   result(id: number, r: TxnOutcome, now: Ms): void {
@@ -229,7 +198,7 @@
       for (const w of batch) {
         const hit = failed.has(w.key) || (w.also ?? []).some((g) => failed.has(g.key));
         if (hit) this.afterBarrier(now, () => this.conflict(w));
-        else this.queue.push(w);
+        else this.queue.add(w, now);
       }
       // Should the answer name no key of ours, retrying at once would spin.
       if (failed.size === 0) this.pauseUntil = now + 200;
@@ -242,16 +211,16 @@
       for (const w of batch) {
         if (r.kind === 'unknown') w.uncertain = true;
         if (r.kind === 'noLease' && w.leased) w.done('conflict', 0);
-        else this.queue.push(w);
+        else this.queue.add(w, now);
       }
     }
     this.flush(now);
   }
 
   /** Whichever of them can't be taken must not keep the others back: each goes by itself, and it is given up. */
-  private invalid(batch: Queued[], now: Ms): void {
+  private invalid(batch: QueuedWrite[], now: Ms): void {
     for (const w of batch) {
-      if (batch.length > 1) this.queue.push({ ...w, alone: true });
+      if (batch.length > 1) this.queue.add({ ...w, alone: true }, now);
       else if (w.uncertain) this.afterBarrier(now, () => this.conflict(w));
       else this.giveUpTooLarge(w);
     }
@@ -260,13 +229,13 @@
   private readonly reportedTooLarge = new Set<string>();
 
   /** The service would refuse it, or has: told once for each key, and not tried again. */
-  private giveUpTooLarge(w: Queued): void {
+  private giveUpTooLarge(w: QueuedWrite): void {
     if (!this.reportedTooLarge.has(w.key)) this.tooLarge(w.key, encodedBytes(w.key, w.sentValue));
     this.reportedTooLarge.add(w.key);
     w.done('dropped', 0);
   }
 
-  private conflict(w: Queued): void {
+  private conflict(w: QueuedWrite): void {
     const e = this.replica.get(w.key);
     const same =
       w.uncertain &&
