Plans, views and first grants cost what they are about, not the square of the machines

Change: what may be cleared is found by rooms sorted out once for each kind of service (Destinations); a job's rooms are sorted only as far as they can take a task (CandidateRooms), the rest only where there is anything to stop; which shares bear suspects, and where else services have room, is worked out once; machines of each share are counted once for a round of grants (ShareBalance).

--- a/packages/core/src/clearing.ts
+++ b/packages/core/src/clearing.ts
@@ -1,4 +1,5 @@
 import type { Context } from './context.js';
+import { Destinations } from './destinations.js';
 import type { Machine, Ms, Need, Placement } from './model.js';
 import { allowed, copies, fits, type Room, take, zoneAllows, zoneCounts } from './placement.js';
 import type { Places } from './places.js';
@@ -36,34 +37,20 @@
         if (p.phase !== 'exited' && p.job.spec.shape === 'array')
           take(r, { cpus: -p.job.spec.cpus, gpus: 0, memory: -p.job.spec.memory });
       }
-      rooms.push(r);
+      if (m.placements.size > 0) rooms.push(r);
     }
+    const destinations = new Destinations(rooms, (m) => this.work.serviceUse(m).cpus);
     for (const m of this.context.table.machines.values()) {
       if (m.share !== share || !m.cap || m.spot) continue;
       const move = this.work.servicesOn(m);
       // What was moved lately stays where it is: moving it on would keep it from running.
       if (move.some((p) => now - p.job.lastStop < 60_000)) continue;
       if (move.length === 0 || (m.cap.gpus === 0 && move.length > 4)) continue;
-      const tried = rooms
-        .filter((r) => r.machine !== m && r.machine.placements.size > 0 && this.wider(r.machine, m))
-        .map((r) => ({ ...r }));
-      let all = true;
-      for (const p of move) {
-        const r = tried.find((x) => fits(p.job.need, x) && allowed(p.job, x.machine));
-        if (r) take(r, p.job.need);
-        else all = false;
-      }
-      if (all) out.add(m);
+      if (destinations.hold(m, move)) out.add(m);
     }
     return out;
   }
 
-  /** May services go from `from` to `to`? From one accelerator machine only to one with more of them. */
-  private wider(to: Machine, from: Machine): boolean {
-    if (from.cap?.gpus === 0 || to.cap?.gpus === 0) return true;
-    return this.work.serviceUse(to).cpus > this.work.serviceUse(from).cpus;
-  }
-
   /**
    * Clears machines with accelerators of services when a gang here has no other place: as
    * many as it lacks, or none.
--- a/packages/core/src/grants.ts
+++ b/packages/core/src/grants.ts
@@ -6,6 +6,7 @@
 import type { Ms } from './model.js';
 import { copies } from './placement.js';
 import type { Rentals } from './rentals.js';
+import { ShareBalance } from './share-balance.js';
 import { KEY } from './state-keys.js';
 import { URGENCY } from './writer.js';
 
@@ -71,9 +72,11 @@
     if (all.size === 0) return;
     const waiting = waitingWork(shares().values());
     this.serveRecent(waiting, now);
+    const balance = new ShareBalance(this.context, this.recentGrants);
     for (const stranger of all.values()) {
       this.rentals().up(stranger.machine, stranger, now);
-      const share = this.shareInNeed(stranger, waiting) ?? this.shareByGuarantees(stranger.type);
+      const share = this.shareInNeed(stranger, waiting) ?? balance.worstOff(stranger.type);
+      balance.add(stranger.type, share);
       this.write(stranger, share, leaderStamp, now);
     }
   }
@@ -130,38 +133,4 @@
     serve(waiting, work.share, stranger, capacity);
     return work.share;
   }
-
-  /** The share that is worst off for this type, by what its teams are guaranteed. */
-  private shareByGuarantees(type: string): number {
-    const have = this.machinesOf(type);
-    const weight = this.weights((typeOf(this.context, type)?.gpus ?? 0) > 0);
-    const part = (share: number) => (have[share] ?? 0) / (weight[share] ?? 1);
-    // A share without teams has no use for machines.
-    const entitled = weight.flatMap((w, share) => (w > 0 ? [share] : []));
-    return entitled.reduce((best, share) => (part(share) < part(best) ? share : best), entitled[0] ?? 0);
-  }
-
-  /** Machines of a type that each share has, or is being given. */
-  private machinesOf(type: string): number[] {
-    const { table, settings } = this.context;
-    const have = new Array<number>(settings.shares).fill(0);
-    const index = table.typeNames.index(type);
-    for (const machine of table.machines.values()) {
-      const share = machine.moveTo >= 0 ? machine.moveTo : machine.share;
-      if (machine.type === index && share >= 0) have[share] = (have[share] ?? 0) + 1;
-    }
-    for (const [name, grant] of this.recentGrants)
-      if (grant.type === type && !table.machines.has(name)) have[grant.share] = (have[grant.share] ?? 0) + 1;
-    return have;
-  }
-
-  private weights(accelerated: boolean): number[] {
-    const { table, settings } = this.context;
-    const weight = new Array<number>(settings.shares).fill(0);
-    settings.teams.forEach((team, i) => {
-      const share = table.teamShare[i] ?? 0;
-      weight[share] = (weight[share] ?? 0) + (accelerated ? team.gpus + 0.1 : 1);
-    });
-    return weight;
-  }
 }
--- a/packages/core/src/places.ts
+++ b/packages/core/src/places.ts
@@ -10,6 +10,7 @@
 export class Places {
   /** shares with work for accelerators that has no room */
   readonly gangsWait = new Set<number>();
+  private withRoom: { job: Job; machines: Machine[] } | null = null;
 
   constructor(
     private readonly context: Context,
@@ -53,18 +54,29 @@
     // One machine given to services whole leaves the others to the work they are made for.
     if (this.givenToServices(r.machine)) return waitedMs > 800;
     if (this.leavesRoomForGang(r.machine, j.need)) return waitedMs > 1500;
+    if (this.elsewhere(j).some((m) => m !== r.machine)) return waitedMs > 30_000;
+    return waitedMs > SCARCE_AFTER_S * 1000;
+  }
+
+  /** Forgets what was worked out for the job that was planned for before. */
+  begin(): void {
+    this.withRoom = null;
+  }
+
+  /**
+   * Two machines, or as many as there are, that are given to services and have room for the job's next task. They are
+   * the same for all machines that are weighed for the job.
+   */
+  private elsewhere(j: Job): Machine[] {
+    if (this.withRoom?.job === j) return this.withRoom.machines;
+    const machines: Machine[] = [];
     for (const m of this.context.table.machines.values()) {
-      if (
-        m !== r.machine &&
-        m.share === j.share &&
-        this.givenToServices(m) &&
-        this.work.usable(m, this.work.now) &&
-        allowed(j, m)
-      ) {
-        if (fits(j.need, this.work.roomOf(m))) return waitedMs > 30_000;
-      }
+      if (machines.length === 2) break;
+      if (m.share !== j.share || !this.givenToServices(m) || !this.work.usable(m, this.work.now) || !allowed(j, m)) continue;
+      if (fits(j.need, this.work.roomOf(m))) machines.push(m);
     }
-    return waitedMs > SCARCE_AFTER_S * 1000;
+    this.withRoom = { job: j, machines };
+    return machines;
   }
 
   private fetchesForGang(m: Machine): boolean {
--- a/packages/core/src/planner.ts
+++ b/packages/core/src/planner.ts
@@ -1,3 +1,4 @@
+import { CandidateRooms } from './candidate-rooms.js';
 import { Clearing } from './clearing.js';
 import type { Context } from './context.js';
 import type { Job, Machine, Ms, Need } from './model.js';
@@ -13,6 +14,9 @@
 /** Places weighed by a plan for which planning pauses a millisecond. */
 const WEIGHED_PER_MS = 25;
 
+/** A service whose best place is worth less than this, in seconds of waiting, may have a better one cleared for it. */
+const WORTH_STOPPING_FOR = -1;
+
 /** Which task goes where: the plan, in the order of the queue. */
 export class Planner {
   private unsettled = false;
@@ -81,12 +85,13 @@
     const guar = this.order.guarantees();
     let weighed = 0;
     const queue = this.order.queue(guar, now);
-    this.preemption.pressed.clear();
+    this.preemption.begin();
     this.full.clear();
     for (const { j } of queue)
       if (this.preemption.waitedOut(j) && !this.work.blame.broken(j))
         this.preemption.pressed.set(j.share, (this.preemption.pressed.get(j.share) ?? 0) + j.pendingCount());
     this.work.unmet = [];
+    const suspects = this.work.sharesWithSuspects();
     let later = false;
     const broken: Job[] = [];
     let open = rooms;
@@ -95,7 +100,7 @@
         later = true;
         continue;
       }
-      if (this.work.unproven(j)) continue;
+      if (suspects.has(j.share) && this.work.unproven(j)) continue;
       if (this.work.unconfirmed(j)) {
         later = true;
         continue;
@@ -205,30 +210,21 @@
     const counts = zoneCounts(j);
     if (j.waitsSince < 0) j.waitsSince = now;
     const waited = now - j.waitsSince;
-    const order = rooms
-      .filter((r) => this.places.mayUse(j, r, waited))
-      .map((r) => ({ r, s: this.places.preference(j, r) }))
-      .sort((a, b) => b.s - a.s || a.r.cpus - b.r.cpus);
+    this.places.begin();
+    const candidates = new CandidateRooms(
+      j,
+      rooms.filter((r) => this.places.mayUse(j, r, waited)),
+      (r) => this.places.preference(j, r),
+    );
     while (can > 0) {
-      let best: { r: Room; s: number } | null = null;
-      for (const o of order) {
-        if (fits(j.need, o.r) && zoneAllows(j, counts, o.r.machine.zone)) {
-          best = o;
-          break;
-        }
-      }
-      let room: Room | null = best?.r ?? null;
+      const best = candidates.best(counts);
+      let room: Room | null = best?.room ?? null;
       // A better place (the image at hand) may be had from lesser work.
-      if (!best || (j.spec.shape === 'service' && best.s < -1)) {
-        const other = order.filter((o) => (!best || o.s > best.s + 1) && zoneAllows(j, counts, o.r.machine.zone)).map((o) => o.r);
-        room =
-          this.preemption.evictFor(
-            j,
-            within,
-            best ? other.filter((r) => !this.preemption.bearsFirm(r.machine, guar)) : other,
-            guar,
-            now,
-          ) ?? room;
+      const mayGain = !best || (j.spec.shape === 'service' && best.worth < WORTH_STOPPING_FOR);
+      if (mayGain && this.preemption.hasVictims(j, within)) {
+        const other = candidates.worthMore(best ? best.worth + 1 : Number.NEGATIVE_INFINITY, counts);
+        const open = best ? other.filter((r) => !this.preemption.bearsFirm(r.machine, guar)) : other;
+        room = this.preemption.evictFor(j, within, open, guar, now) ?? room;
       }
       if (!room) break;
       const index = j.nextPending();
--- a/packages/core/src/preemption.ts
+++ b/packages/core/src/preemption.ts
@@ -9,6 +9,8 @@
 export class Preemption {
   /** tasks of pressing services without a place, by share */
   readonly pressed = new Map<number, number>();
+  /** the lowest rank of work that has places, by share, as the plan began */
+  private readonly lowestRank = new Map<number, number>();
 
   constructor(
     private readonly context: Context,
@@ -16,6 +18,25 @@
     private readonly places: Places,
   ) {}
 
+  /** A plan begins: what the last one found is forgotten. */
+  begin(): void {
+    this.pressed.clear();
+    this.lowestRank.clear();
+    for (const job of this.context.table.jobs.values()) {
+      if (job.placements.size === 0) continue;
+      this.lowestRank.set(job.share, Math.min(job.rank, this.lowestRank.get(job.share) ?? job.rank));
+    }
+  }
+
+  /**
+   * Can there be anything at all that may be stopped for the job? What the plan itself has placed so far is of the
+   * job's rank or a higher one.
+   */
+  hasVictims(j: Job, within: boolean): boolean {
+    if (within && j.spec.gpus > 0) return true;
+    return (this.lowestRank.get(j.share) ?? j.rank) < j.rank;
+  }
+
   bearsFirm(m: Machine, guar: Guarantees): boolean {
     for (const p of m.placements.values()) if (p.phase !== 'exited' && guar.get(p.job)?.firm) return true;
     return false;
@@ -77,8 +98,7 @@
   }
 
   evictFor(j: Job, within: boolean, rooms: Room[], guar: Guarantees, now: Ms): Room | null {
-    // Nothing stands below it.
-    if (j.rank === 0 && (!within || j.spec.gpus === 0)) return null;
+    if (!this.hasVictims(j, within)) return null;
     let best: { r: Room; v: Placement[]; c: number } | null = null;
     for (const r of rooms) {
       const v = this.victimsOn(j, within, r, guar, now);
--- a/packages/core/src/work.ts
+++ b/packages/core/src/work.ts
@@ -171,6 +171,13 @@
     return r;
   }
 
+  /** Shares with machines that may bear what nobody has reported. */
+  sharesWithSuspects(): Set<number> {
+    const shares = new Set<number>();
+    for (const m of this.context.table.machines.values()) if (m.suspect) shares.add(m.share);
+    return shares;
+  }
+
   /** Where could a task of this job be, of those that nobody has reported? */
   unproven(j: Job): boolean {
     const held = this.held.get(j.share);
