Leader: moves between shares are a module of short functions; what a round needs of all machines is sorted out once

Need: the leader went over all machines for each of up to 32 demands a share, and counted a share's idle machines anew for each machine weighed (the square of the machines). Change: Moves sorts out what may be moved once a round, counts idle machines once a share, and the dearest type once a round.

--- a/packages/core/src/leader.ts
+++ b/packages/core/src/leader.ts
@@ -1,34 +1,35 @@
-import type { MachineType, PeerMachine, PeerShare } from '@archpost/wire';
+import type { MachineType, PeerShare } from '@archpost/wire';
 import type { Context } from './context.js';
-import { serve, suits, waitingWork } from './demand.js';
+import { suits, waitingWork } from './demand.js';
 import { encodeGrant } from './grant-record.js';
 import { Grants, type Stranger } from './grants.js';
-import { type Machine, type Ms, SCARCE_AFTER_S, TOP_RANK } from './model.js';
+import { type Machine, type Ms, NEVER } from './model.js';
+import { Moves } from './moves.js';
 import type { Owner } from './owner.js';
 import { copies } from './placement.js';
 import { Rentals } from './rentals.js';
 import { KEY } from './state-keys.js';
 import { URGENCY } from './writer.js';
 
-/** Work of the highest rank that waited for so many plan waits gets machines that bear firm work elsewhere. */
-const PRESSING_PLAN_WAITS = 1.5;
+/** Most moves, and most idle machines let go, in one round. */
+const MOVES_A_ROUND = 6;
+const LET_GO_A_ROUND = 3;
 
 /** The elected leader: grants machines to shares, moves them, and lets go what is idle. */
 export class Leader {
   private since: Ms = -1;
   private stamp = 0;
-  private lastRound: Ms = -1e12;
+  private lastRound: Ms = NEVER;
   private readonly grants: Grants;
   readonly rentals: Rentals;
-  private readonly moves = new Map<string, Ms>();
-  private readonly movedAt = new Map<string, Ms>();
-  private clearedAt: Ms = -1e12;
+  private readonly moves: Moves;
 
   constructor(
     private readonly context: Context,
     private readonly owner: Owner,
   ) {
     this.grants = new Grants(context, () => this.rentals);
+    this.moves = new Moves(context);
     this.rentals = new Rentals(
       context,
       (machine) => this.grants.pending(machine),
@@ -40,12 +41,12 @@
   gained(stamp: number, now: Ms): void {
     this.since = now;
     this.stamp = stamp;
-    this.moves.clear();
+    this.moves.reset();
     this.rentals.gained(stamp, now);
   }
 
   machineGone(name: string, now: Ms): void {
-    this.movedAt.delete(name);
+    this.moves.machineGone(name);
     this.rentals.gone(name, now);
   }
 
@@ -96,104 +97,13 @@
     return out;
   }
 
-  /** Free machines, or such as bear lesser work only, go where work has no room. */
   private move(shares: Map<number, PeerShare>, now: Ms): void {
-    const { table } = this.context;
-    for (const [name, at] of this.moves) {
-      const m = table.machines.get(name);
-      if (!m || (m.moveTo < 0 && now - at > 3000)) this.moves.delete(name);
-    }
-    const wants = waitingWork(shares.values());
-    this.grants.serveRecent(wants, now);
-    const taken = new Set<string>();
-    // What is on its way already serves the first who want it.
-    for (const [name] of this.moves) {
-      const m = table.machines.get(name);
-      if (!m || m.moveTo < 0 || !m.cap) continue;
-      serve(wants, m.moveTo, { type: m.cap.name, zone: table.zoneNames.name(m.zone), spot: m.spot }, m.cap);
-      taken.add(name);
-    }
-    const idle = (s: PeerShare) =>
-      s.machines.filter(
-        (p) => p.tasks === 0 && table.machines.get(p.name)?.spot === false && table.machines.get(p.name)?.cap?.gpus === 0,
-      ).length;
-    let budget = 6;
-    for (const w of wants) {
-      if (budget <= 0) break;
-      const options: { m: Machine; p: PeerMachine; score: number }[] = [];
-      for (const s of shares.values()) {
-        if (s.share === w.share) continue;
-        // A share in the same need keeps what it has.
-        const rival = s.demands.some(
-          (d) => d.rank > w.demand.rank || (d.rank === w.demand.rank && (d.within || !w.demand.within) && d.waitS > 0.2),
-        );
-        for (const p of s.machines) {
-          const m = table.machines.get(p.name);
-          if (!m || m.share !== s.share || m.moveTo >= 0 || m.retire || taken.has(p.name) || !m.cap) continue;
-          // A machine that was moved lately, or bears services that would have to move, stays
-          // for a while: going to and fro would serve nobody.
-          const moved = this.movedAt.get(p.name) ?? -1e12;
-          if (now - moved < (p.tasks > 0 ? 30_000 : 3000)) continue;
-          if (p.services > 0 && (w.demand.waitS < 3 || now - this.clearedAt < 3000)) continue;
-          if (p.firmRank >= w.demand.rank || copies(w.demand, m.cap) < 1) continue;
-          if (!suits(w.demand, m.cap.name, table.zoneNames.name(m.zone), m.spot)) continue;
-          if (
-            rival &&
-            s.demands.some(
-              (d) =>
-                d.rank >= w.demand.rank &&
-                suits(d, (m.cap as MachineType).name, table.zoneNames.name(m.zone), m.spot) &&
-                copies(d, m.cap as MachineType) >= 1,
-            )
-          )
-            continue;
-          // Machines with accelerators that may not be had again stay for what needs them, unless
-          // the most urgent work has found nothing else for a while.
-          const scarce = m.cap.gpus > 0 && !m.spot && !this.context.plenty(m.cap.name) && table.gpuShares.has(s.share);
-          // Work on them gives way only to what has pressed for longer than its own share needs to clear one.
-          const pressing =
-            w.demand.rank >= TOP_RANK &&
-            w.demand.waitS > PRESSING_PLAN_WAITS * this.context.settings.policy.planWaitS &&
-            w.left * 2 >= copies(w.demand, m.cap);
-          if (
-            w.demand.gpus === 0 &&
-            scarce &&
-            (w.demand.rank < TOP_RANK || w.demand.waitS < SCARCE_AFTER_S || (p.tasks > 0 && !pressing))
-          )
-            continue;
-          if (p.firmRank >= TOP_RANK - 1 && !pressing) continue;
-          // Ordinary machines stay for what can't use others.
-          if (w.demand.spot && !m.spot && w.demand.gpus === 0 && idle(s) <= 3) continue;
-          if (w.demand.gpus === 0 && m.cap.gpus > 0 && w.demand.rank < 2 && p.tasks > 0) continue;
-          const n = copies(w.demand, m.cap);
-          options.push({
-            m,
-            p,
-            score:
-              p.services * 200 +
-              (p.tasks > 0 ? 100 + 10 * p.tasks : 0) +
-              (w.demand.gpus === 0 && m.cap.gpus > 0 ? 50 : 0) -
-              Math.min(n, w.left),
-          });
-        }
-      }
-      options.sort((a, b) => a.score - b.score);
-      for (const o of options) {
-        if (w.left <= 0 || budget <= 0) break;
-        taken.add(o.m.name);
-        budget--;
-        w.left -= copies(w.demand, o.m.cap as MachineType);
-        this.order(o.m, w.share, now);
-        if (o.p.services === 0) continue;
-        this.clearedAt = now;
-        break;
-      }
-    }
+    const waiting = waitingWork(shares.values());
+    this.grants.serveRecent(waiting, now);
+    this.moves.plan(shares, waiting, MOVES_A_ROUND, (machine, share) => this.order(machine, share, now), now);
   }
 
   private order(m: Machine, share: number, now: Ms): void {
-    this.movedAt.set(m.name, now);
-    this.moves.set(m.name, now);
     this.context.log('debug', 'move', { machine: m.name, from: m.share, to: share });
     this.context.writer.add({
       key: KEY.grant(m.name),
@@ -203,7 +113,7 @@
       urgency: URGENCY.grant,
       until: now + 4000,
       done: (o) => {
-        if (o !== 'ok') this.moves.delete(m.name);
+        if (o !== 'ok') this.moves.dropped(m.name);
       },
     });
   }
@@ -212,21 +122,21 @@
    * What costs little may stay idle for longer: it saves little, and to have it again takes
    * its boot time, paid and waited for. The dearest kind goes back first.
    */
-  private patience(cap: MachineType | null, spot: boolean): number {
+  private patience(cap: MachineType | null, spot: boolean, dearest: number): number {
     if (!cap) return 1;
-    const dearest = Math.max(...this.rentals.options().map((o) => o.type.price));
     return Math.min(8, Math.sqrt(dearest / Math.max(1e-6, spot ? cap.spotPrice : cap.price)));
   }
 
   private giveBackIdle(shares: Map<number, PeerShare>, now: Ms): void {
     const demands = [...shares.values()].flatMap((s) => s.demands);
-    let budget = 3;
+    const dearest = Math.max(...this.rentals.options().map((o) => o.type.price));
+    let budget = LET_GO_A_ROUND;
     for (const s of shares.values()) {
       for (const p of s.machines) {
         const m = this.context.table.machines.get(p.name);
         if (!m || budget <= 0 || p.tasks > 0 || m.moveTo >= 0 || m.retire || p.firmRank > 0) continue;
         const cap = m.cap;
-        if (p.idleS < this.context.settings.policy.idleS * this.patience(cap, m.spot)) continue;
+        if (p.idleS < this.context.settings.policy.idleS * this.patience(cap, m.spot, dearest)) continue;
         if (
           cap &&
           demands.some(
