No fixed limit below 4,000 machines: statuses, frames, lists, rounds, returns and loads

- A stored status always told the first 20 machines without a grant and the first 15 idle ones: those that the leader can't use hid all others for as long as a cut lasted.
They are told in turn now; what was heard is left out, since no version reads it from a stored status.
- The leader's rounds were 4.5 s apart at 4,000 machines, with six moves each: 1.5 s at most, and moves in proportion to the limit on changes.
A demand could ask for 40 machines in a round however many were lost.
- Machines that were given back were forgotten beyond 2,000; returns bore half of what the protocol allows.
- A peer's frame was copied at each chunk.
Running jobs, heard machines and ungranted ones beyond a quarter of a frame each are told in turn; a frame that is too large closes its link with one logged error that says size and sender.
- A message to a worker with more commands than a body holds was refused whole; the rest comes with the next.
- What can't be read of the cloud's or the state service's answers is logged.

--- a/packages/cloud/src/index.ts
+++ b/packages/cloud/src/index.ts
@@ -2,6 +2,7 @@
 import {
   type Listed,
   type MachineType,
+  MOST_LISTED,
   PATHS,
   pack,
   parseListing,
@@ -12,6 +13,19 @@
   returnBody,
   unpackMap,
 } from '@archpost/wire';
+import { Subject } from 'rxjs';
+
+/** Part of this controller's requests that pages of lists may take. */
+const LIST_SHARE = 0.5;
+
+/** A page after the first is asked for so often before the list is given up. */
+const PAGE_TRIES = 3;
+
+interface Answer {
+  /** 0: there was none */
+  status: number;
+  body: Record<string, unknown> | null;
+}
 
 export type RentOutcome = { kind: 'ok'; machines: string[] } | { kind: 'full' | 'unknown' };
 
@@ -19,13 +33,17 @@
 export class Cloud {
   private readonly client: Client;
   private readonly budget: Budget;
+  /** pages of lists take a part only: rentals and returns need the rest */
+  private readonly listBudget: Budget;
+  readonly unreadable$ = new Subject<string>();
 
   constructor(addr: string, rps: number) {
     this.client = new Client(addr, 6);
     this.budget = new Budget(rps, steady);
+    this.listBudget = new Budget(rps * LIST_SHARE, steady);
   }
 
-  private async call(method: 'GET' | 'POST', path: string, body?: unknown) {
+  private async call(method: 'GET' | 'POST', path: string, body?: unknown): Promise<Answer> {
     await this.budget.take();
     const o = await this.client.call(
       body === undefined ? { method, path, timeoutMs: 3000 } : { method, path, body: pack(body), timeoutMs: 3000 },
@@ -35,15 +53,22 @@
 
   async types(): Promise<MachineType[] | null> {
     const r = await this.call('GET', PATHS.machineTypes);
-    return r.status === 200 && r.body ? parseTypes(r.body) : null;
+    return this.readable(r, 'machine types', parseTypes);
+  }
+
+  /** What the answer says; null if it was refused, or can't be read, which is told. */
+  private readable<T>({ status, body }: Answer, what: string, parse: (body: Record<string, unknown>) => T | null): T | null {
+    if (status !== 200) return null;
+    const parsed = body && parse(body);
+    if (parsed === null) this.unreadable$.next(what);
+    return parsed;
   }
 
   async list(): Promise<Listed[] | null> {
     const out: Listed[] = [];
     let since = '';
     for (;;) {
-      const r = await this.call('GET', `${PATHS.machines}?${since === '' ? '' : `since=${since}&`}most=500`);
-      const page = r.status === 200 && r.body ? parseListing(r.body) : null;
+      const page = await this.page(since);
       if (!page) return null;
       out.push(...page.machines);
       if (!page.more || page.machines.length === 0) return out;
@@ -51,6 +76,18 @@
     }
   }
 
+  /** A page of the list; a later one is asked for again, since all that came before it would be lost. */
+  private async page(since: string): Promise<ReturnType<typeof parseListing>> {
+    const path = `${PATHS.machines}?${since === '' ? '' : `since=${since}&`}most=${MOST_LISTED}`;
+    for (let tries = since === '' ? 1 : PAGE_TRIES; tries > 0; tries--) {
+      await this.listBudget.take();
+      const answer = await this.call('GET', path);
+      const page = this.readable(answer, 'machine list', parseListing);
+      if (page || answer.status === 200) return page;
+    }
+    return null;
+  }
+
   /**
    * Rents under a name that is never used again. Without an answer the name is asked for
    * once more: if the first request was carried out, the same answer comes back.
--- a/packages/core/src/commands.ts
+++ b/packages/core/src/commands.ts
@@ -1,4 +1,4 @@
-import type { Command, Report } from '@archpost/wire';
+import { type Command, MOST_COMMANDS_IN_BODY, type Report } from '@archpost/wire';
 import type { Context } from './context.js';
 import { type Job, type Machine, type Ms, NEVER, type Need, type Placement } from './model.js';
 import { fits, take } from './placement.js';
@@ -20,7 +20,7 @@
 const SOCKETS_PER_QUESTION = 12;
 const SOCKETS_PER_QUESTION_TO_WELL = 8;
 
-/** Most commands in one message, but for stops. */
+/** Starts are added to a message only up to so many commands. */
 const MOST_COMMANDS = 60;
 
 /** A stop is sent again after this long. */
@@ -133,23 +133,28 @@
 
   private flush(machine: Machine, now: Ms): void {
     const free = capacityOf(machine);
-    const commands = [...machine.strays.map(clearStray), ...this.stopsAndForgets(machine, free, now)];
+    const commands = machine.strays.slice(0, MOST_COMMANDS_IN_BODY).map(clearStray);
+    commands.push(...this.stopsAndForgets(machine, free, MOST_COMMANDS_IN_BODY - commands.length, now));
     const started = this.work.mayStart(now) ? this.startable(machine, free, MOST_COMMANDS - commands.length) : [];
     commands.push(...started.map(({ command }) => command));
     const placements = started.map(({ placement }) => placement);
     if (commands.length > 0 && !this.canWait(machine, commands, placements, now)) this.send(machine, commands, placements, false);
   }
 
-  /** What is to be stopped or cleared away. Takes what the rest needs from `free`. */
-  private stopsAndForgets(machine: Machine, free: Need, now: Ms): Command[] {
+  /**
+   * What is to be stopped or cleared away, up to `most`; the others come with the next message. Takes what the rest
+   * needs from `free`.
+   */
+  private stopsAndForgets(machine: Machine, free: Need, most: number, now: Ms): Command[] {
     const commands: Command[] = [];
+    const isFull = () => commands.length >= most;
     for (const placement of machine.placements.values()) {
       if (placement.phase === 'planned') continue;
       if (placement.phase === 'exited') {
-        if (!this.isKept(placement)) commands.push(forgetCommand(placement));
+        if (!isFull() && !this.isKept(placement)) commands.push(forgetCommand(placement));
         continue;
       }
-      if (placement.stop !== null && now - placement.stopSentAt > STOP_AGAIN_MS) {
+      if (placement.stop !== null && !isFull() && now - placement.stopSentAt > STOP_AGAIN_MS) {
         commands.push(stopCommand(placement, placement.stop));
         placement.stopSentAt = now;
         if (placement.stopSince < 0) placement.stopSince = now;
--- a/packages/core/src/fleet.ts
+++ b/packages/core/src/fleet.ts
@@ -1,3 +1,4 @@
+import { MOST_RETURNED } from '@archpost/wire';
 import type { Context } from './context.js';
 import { GrantChanges } from './grant-changes.js';
 import type { Machine, Ms } from './model.js';
@@ -5,7 +6,7 @@
 import type { Work } from './work.js';
 
 /** Most machines in one return to the cloud, and how often one is made. */
-const RETURNS_AT_ONCE = 50;
+const RETURNS_AT_ONCE = MOST_RETURNED;
 const RETURN_EACH_MS = 300;
 
 /** A return that failed is tried again after this long. */
--- a/packages/core/src/leader.ts
+++ b/packages/core/src/leader.ts
@@ -11,9 +11,17 @@
 import { KEY } from './state-keys.js';
 import { URGENCY } from './writer.js';
 
-/** Most moves, and most idle machines let go, in one round. */
+/** A round weighs all machines: with many of them rounds are rarer, though work that waits is never left for longer. */
+const ROUND_MS = 500;
+const ROUND_MS_PER_MACHINE = 1;
+const LONGEST_ROUND_MS = 1500;
+
+/** Moves in one round: so many in any case, or this part of what the state service takes in the time of a round. */
 const MOVES_A_ROUND = 6;
-const LET_GO_A_ROUND = 3;
+const MOVES_SHARE_OF_CHANGES = 0.03;
+
+/** Idle machines let go in one round, for each move that it may order. */
+const LET_GO_PER_MOVE = 0.5;
 
 /** The elected leader: grants machines to shares, moves them, and lets go what is idle. */
 export class Leader {
@@ -71,12 +79,7 @@
     this.rentals.askList(now);
     this.grants.grantAll(() => this.shares(now), this.stamp, now);
     // A round weighs all machines: with many of them, rounds are rarer.
-    if (
-      now - this.lastRound < 500 + this.context.table.machines.size ||
-      now - this.context.freshAt > 4000 ||
-      this.context.settling()
-    )
-      return;
+    if (now - this.lastRound < this.roundMs || now - this.context.freshAt > 4000 || this.context.settling()) return;
     this.lastRound = now;
     const shares = this.shares(now);
     this.move(shares, now);
@@ -87,6 +90,15 @@
     }
   }
 
+  private get roundMs(): Ms {
+    return Math.min(LONGEST_ROUND_MS, ROUND_MS + ROUND_MS_PER_MACHINE * this.context.table.machines.size);
+  }
+
+  private get movesARound(): number {
+    const changes = (this.context.settings.state.writeRps * this.roundMs) / 1000;
+    return Math.max(MOVES_A_ROUND, Math.floor(MOVES_SHARE_OF_CHANGES * changes));
+  }
+
   private shares(now: Ms): Map<number, PeerShare> {
     const out = new Map<number, PeerShare>();
     for (const p of this.context.peers.values()) {
@@ -100,7 +112,7 @@
   private move(shares: Map<number, PeerShare>, now: Ms): void {
     const waiting = waitingWork(shares.values());
     this.grants.serveRecent(waiting, now);
-    this.moves.plan(shares, waiting, MOVES_A_ROUND, (machine, share) => this.order(machine, share, now), now);
+    this.moves.plan(shares, waiting, this.movesARound, (machine, share) => this.order(machine, share, now), now);
   }
 
   private order(m: Machine, share: number, now: Ms): void {
@@ -130,7 +142,7 @@
   private giveBackIdle(shares: Map<number, PeerShare>, now: Ms): void {
     const demands = [...shares.values()].flatMap((s) => s.demands);
     const dearest = Math.max(...this.rentals.options().map((o) => o.type.price));
-    let budget = LET_GO_A_ROUND;
+    let budget = Math.floor(this.movesARound * LET_GO_PER_MOVE);
     for (const s of shares.values()) {
       for (const p of s.machines) {
         const m = this.context.table.machines.get(p.name);
--- a/packages/core/src/owner.ts
+++ b/packages/core/src/owner.ts
@@ -7,6 +7,7 @@
 import { Planner } from './planner.js';
 import { Records } from './records.js';
 import { Reports } from './reports.js';
+import type { RunningTasks } from './running-news.js';
 import { ShareViews } from './share-view.js';
 import { Work } from './work.js';
 
@@ -257,8 +258,8 @@
   }
 
   /** Tasks that run and are done, by job, and how often one failed of those that fail everywhere. */
-  running(): Map<string, { count: number; done: number; failed: number }> {
-    const out = new Map<string, { count: number; done: number; failed: number }>();
+  running(): Map<string, RunningTasks> {
+    const out = new Map<string, RunningTasks>();
     for (const j of this.context.table.jobs.values()) {
       if (!this.work.held.has(j.share)) continue;
       let count = 0;
--- a/packages/core/src/rentals.ts
+++ b/packages/core/src/rentals.ts
@@ -1,4 +1,12 @@
-import type { Listed, MachineType, PeerDemand, PeerShare } from '@archpost/wire';
+import {
+  type Listed,
+  type MachineType,
+  MOST_LISTED,
+  MOST_RENTED,
+  MOST_RETURNED,
+  type PeerDemand,
+  type PeerShare,
+} from '@archpost/wire';
 import { Boots } from './boots.js';
 import type { Context } from './context.js';
 import { type Kind, kindKey, suits, typeOf } from './demand.js';
@@ -18,6 +26,20 @@
 /** Rentals under way at once. */
 const BOOKINGS = 3;
 
+/** How often the cloud is asked what there is, and the part of its requests that this may take. */
+const LIST_MS = 2000;
+const LIST_SHARE_OF_REQUESTS = 0.25;
+
+/** What is said of a machine that was given back may be old for this long. */
+const GONE_MS = 120_000;
+
+/** A machine that was rented is in a list after this long. */
+const SHOWN_MS = 60_000;
+
+/** Machines that one demand may ask for in a round: so many, or one for each so many that there are. */
+const MOST_FOR_DEMAND = 40;
+const MACHINES_PER_PURCHASE = 25;
+
 interface Booking extends Kind {
   count: number;
   at: Ms;
@@ -76,13 +98,18 @@
   }
 
   askList(now: Ms): void {
-    const interval = Math.max(2000, 4000 / this.context.settings.cloud.rps);
-    if (this.listBusy || now - this.lastList <= interval) return;
+    if (this.listBusy || now - this.lastList <= this.listIntervalMs) return;
     this.lastList = now;
     this.listBusy = true;
     this.context.emit({ t: 'list' });
   }
 
+  /** A list of many machines takes many requests, and may take a part of them only: rentals and returns need the rest. */
+  private get listIntervalMs(): Ms {
+    const pages = Math.max(1, Math.ceil(this.listed.size / MOST_LISTED));
+    return Math.max(LIST_MS, (pages * 1000) / (LIST_SHARE_OF_REQUESTS * this.context.settings.cloud.rps));
+  }
+
   /** A machine is up: how long that took says how long others may take. */
   up(machine: string, kind: Kind, now: Ms): void {
     const age = this.ageOf(machine, now);
@@ -96,15 +123,17 @@
   /** It was given back so lately that what is said of it may be old. */
   goneLately(machine: string, now: Ms): boolean {
     const gone = this.goneAt.get(machine);
-    return gone !== undefined && now - gone < 120_000;
+    return gone !== undefined && now - gone < GONE_MS;
   }
 
   gone(machine: string, now: Ms): void {
+    this.goneAt.delete(machine);
     this.goneAt.set(machine, now);
     this.booting.delete(machine);
-    if (this.goneAt.size > 2000) {
-      const first = this.goneAt.keys().next().value;
-      if (first !== undefined) this.goneAt.delete(first);
+    // In the order in which they went; one that is told of again goes on from its first time.
+    for (const [name, at] of this.goneAt) {
+      if (now - at < GONE_MS) break;
+      this.goneAt.delete(name);
     }
   }
 
@@ -187,8 +216,8 @@
       if (this.bookings.size >= BOOKINGS || (max !== null && held >= max)) return;
       if (!first && !want.urgent) continue;
       first = false;
-      const most = this.fails(want, now) ? 2 : 50;
-      const count = Math.max(1, Math.min(want.count, most, max === null ? 50 : max - held));
+      const most = this.fails(want, now) ? 2 : MOST_RENTED;
+      const count = Math.max(1, Math.min(want.count, most, max === null ? MOST_RENTED : max - held));
       held += count;
       const id = this.context.nextId();
       const request = `r-${this.stamp}-${++this.counter}`;
@@ -289,7 +318,7 @@
       };
       fill();
       if (d.waitS < 1) continue;
-      for (let more = 0; left > 0 && more < 40; more++) {
+      for (let more = 0; left > 0 && more < this.mostForDemand; more++) {
         const o = this.cheapestFor(d, left, cheapest, inZone, now);
         if (!o) break;
         const c = { type: o.type.name, zone: o.zone, spot: o.spot };
@@ -306,6 +335,16 @@
     return [...buy.values()];
   }
 
+  /** A wave of losses takes a part of all machines: what one demand may ask for in a round grows with them. */
+  private get mostForDemand(): number {
+    return Math.max(MOST_FOR_DEMAND, this.context.table.machines.size / MACHINES_PER_PURCHASE);
+  }
+
+  /** By then a rented machine is in a list, if it is there: some lists are as late as twice the lag. */
+  private get shownMs(): Ms {
+    return Math.max(SHOWN_MS, 2 * this.listIntervalMs + 2000 * this.context.settings.cloud.listLagS);
+  }
+
   private fails(k: Kind, now: Ms): boolean {
     const fails = this.boots.failing(k, this.bootLimitMs(k.type, now), now);
     const name = kindKey(k);
@@ -383,9 +422,9 @@
         back.push(l.machine);
       }
     }
-    for (const [name, b] of this.booting) if (now - b.at > 60_000) this.booting.delete(name);
+    for (const [name, b] of this.booting) if (now - b.at > this.shownMs) this.booting.delete(name);
     if (back.length === 0) return;
-    const some = back.slice(0, 50);
+    const some = back.slice(0, MOST_RETURNED);
     const id = this.context.nextId();
     this.returns.set(id, some);
     this.context.log('info', 'returning machines that never came up', { machines: some });
--- /dev/null
+++ b/packages/core/src/running-news.ts
@@ -0,0 +1,56 @@
+/**
+ * What the other controllers are told of running tasks, for display: all jobs now and then, and what changed in
+ * between. What doesn't fit one status goes with the next ones, so that none outgrows a frame, however many jobs run.
+ */
+import type { PeerStatus } from '@archpost/wire';
+
+/** Tasks of a job that run, that are done, and how often one failed of those that fail everywhere. */
+export interface RunningTasks {
+  count: number;
+  done: number;
+  failed: number;
+}
+
+/** Each so many statuses tell of all jobs that run; a peer that missed a change has it within seconds. */
+const ALL_EACH = 5;
+
+/** Jobs in one status; with the longest names they fill a quarter of a frame. */
+const MOST_JOBS = 10_000;
+
+const NONE: RunningTasks = { count: 0, done: 0, failed: 0 };
+
+export class RunningNews {
+  /** what the others have been told, or will be by what is still to be told */
+  private known: ReadonlyMap<string, RunningTasks> = new Map();
+  private readonly untold = new Map<string, RunningTasks>();
+  private statuses = 0;
+
+  constructor(private readonly mostJobs = MOST_JOBS) {}
+
+  /** What the next status says; `runningAll`: what was told before is to be forgotten. */
+  next(running: ReadonlyMap<string, RunningTasks>): Pick<PeerStatus, 'running' | 'runningAll'> {
+    const runningAll = this.statuses++ % ALL_EACH === 0 && this.untold.size === 0;
+    if (runningAll) for (const [job, tasks] of running) this.untold.set(job, tasks);
+    else this.noteChanges(running);
+    this.known = running;
+    return { running: this.takeSome(), runningAll };
+  }
+
+  private noteChanges(running: ReadonlyMap<string, RunningTasks>): void {
+    for (const [job, tasks] of running) {
+      const known = this.known.get(job);
+      if (known?.count !== tasks.count || known.done !== tasks.done || known.failed !== tasks.failed) this.untold.set(job, tasks);
+    }
+    for (const job of this.known.keys()) if (!running.has(job)) this.untold.set(job, NONE);
+  }
+
+  private takeSome(): PeerStatus['running'] {
+    const some: PeerStatus['running'] = [];
+    for (const [job, tasks] of this.untold) {
+      if (some.length >= this.mostJobs) break;
+      some.push({ job, ...tasks });
+      this.untold.delete(job);
+    }
+    return some;
+  }
+}
--- a/packages/core/src/status-exchange.ts
+++ b/packages/core/src/status-exchange.ts
@@ -5,10 +5,12 @@
  */
 import type { PeerStatus } from '@archpost/wire';
 import type { Context } from './context.js';
+import { inTurn } from './in-turn.js';
 import type { Leader } from './leader.js';
 import { type Ms, NEVER } from './model.js';
 import type { Owner } from './owner.js';
 import type { ReportForwarding } from './report-forwarding.js';
+import { RunningNews } from './running-news.js';
 import { KEY } from './state-keys.js';
 import { fitStatus } from './stored-status.js';
 import type { Vouching } from './vouching.js';
@@ -17,8 +19,12 @@
 
 const STATUS_INTERVAL_MS = 700;
 
-/** Each so many statuses tell of all jobs that run; a peer that missed a change has it within seconds. */
-const RUNNING_ALL_EACH = 5;
+/**
+ * Machines in one status that others own and that were heard here, and machines without a grant. Of more, these are
+ * told in turn; with the longest names each list fills a quarter of a frame.
+ */
+const MOST_HEARD = 4000;
+const MOST_UNGRANTED = 2000;
 
 /** How often the leader is told by way of the state service: it is slower, and costs changes. */
 const STORED_STATUS_INTERVAL_MS = 2000;
@@ -27,8 +33,6 @@
 const USED_SHARE = 0.95;
 const LEAST_SHARE = 0.3;
 
-type Running = ReturnType<Owner['running']>;
-
 /** What of this controller goes into a status. */
 export interface StatusSources {
   owner: Owner;
@@ -43,9 +47,10 @@
 export class StatusExchange {
   private sentAt: Ms = NEVER;
   private sent = 0;
-  private runningSent: Running = new Map();
+  private readonly runningNews = new RunningNews();
   private storing = false;
   private storedAt: Ms = NEVER;
+  private stored = 0;
 
   constructor(
     private readonly context: Context,
@@ -87,15 +92,18 @@
   private sendToAll(now: Ms): void {
     const { vouching, forwarding, owner } = this.sources;
     const status = this.status(now);
-    const running = owner.running();
-    status.runningAll = this.sent++ % RUNNING_ALL_EACH === 0;
-    status.running = status.runningAll ? [...running].map(([job, r]) => ({ job, ...r })) : this.runningChanged(running);
-    this.runningSent = running;
+    Object.assign(status, this.runningNews.next(owner.running()));
+    const turn = this.sent++;
+    status.strangers = inTurn(status.strangers, MOST_UNGRANTED, turn);
     const heard = forwarding.lately(now);
     const { leader } = this;
     for (const { name } of this.context.settings.nodes) {
       if (name === this.context.settings.node) continue;
-      const own: PeerStatus = { ...status, heard: heard.get(name) ?? [], ...vouching.toTell(name, now) };
+      const own: PeerStatus = {
+        ...status,
+        heard: inTurn(heard.get(name) ?? [], MOST_HEARD, turn),
+        ...vouching.toTell(name, now),
+      };
       if (leader !== null && name !== leader) {
         own.shares = [];
         own.strangers = [];
@@ -104,17 +112,6 @@
     }
   }
 
-  /** With a swarm of small jobs all of them, each time, to everybody, would cost more than all else told. */
-  private runningChanged(all: Running): PeerStatus['running'] {
-    const changed: PeerStatus['running'] = [];
-    for (const [job, r] of all) {
-      const old = this.runningSent.get(job);
-      if (old?.count !== r.count || old.done !== r.done || old.failed !== r.failed) changed.push({ job, ...r });
-    }
-    for (const job of this.runningSent.keys()) if (!all.has(job)) changed.push({ job, count: 0, done: 0, failed: 0 });
-    return changed;
-  }
-
   private status(now: Ms): PeerStatus {
     const { context } = this;
     const { owner, leader, routing } = this.sources;
@@ -151,8 +148,7 @@
     this.storedAt = now;
     this.storing = true;
     const key = KEY.status(context.settings.node);
-    const whole: PeerStatus = { ...this.status(now), heard: this.sources.forwarding.lately(now).get(leader) ?? [] };
-    const status = fitStatus(key, whole, context.table.sizes.changeBytes);
+    const status = fitStatus(key, this.status(now), context.table.sizes.changeBytes, this.stored++);
     context.writer.add({
       key,
       value: () => status,
--- a/packages/core/src/stored-status.ts
+++ b/packages/core/src/stored-status.ts
@@ -1,61 +1,66 @@
 /**
  * A controller's status as it is stored for the leader while the link between them is down. It has to fit one
  * value of the state service, so it tells what the leader needs most: waiting work, new machines, idle machines.
+ * What doesn't fit is told in turn by the statuses that follow: the first machines of a list could be such as the
+ * leader can't use, and would hide the others for as long as the cut lasts.
  */
 import type { PeerStatus } from '@archpost/wire';
+import { inTurn } from './in-turn.js';
 import { encodedBytes } from './state-limits.js';
 
 const MOST_MACHINES = 15;
 const MOST_DEMANDS = 8;
 const MOST_UNGRANTED = 20;
-const MOST_HEARD = 100;
 
 /** The longest lists of a status that are still told. */
 interface Lengths {
   machines: number;
   demands: number;
   ungranted: number;
-  heard: number;
 }
 
-function shorten(status: PeerStatus, most: Lengths): PeerStatus {
+const LONGEST: Readonly<Lengths> = {
+  machines: MOST_MACHINES,
+  demands: MOST_DEMANDS,
+  ungranted: MOST_UNGRANTED,
+};
+
+/** What of a status the leader reads nowhere else, without what it never takes from a stored one. */
+function essential(status: PeerStatus): PeerStatus {
+  return { ...status, running: [], runningAll: false, heard: [] };
+}
+
+function shorten(status: PeerStatus, most: Lengths, turn: number): PeerStatus {
   return {
     ...status,
-    running: [],
-    runningAll: false,
-    heard: status.heard.slice(0, most.heard),
-    strangers: status.strangers.slice(0, most.ungranted),
+    strangers: inTurn(status.strangers, most.ungranted, turn),
     shares: status.shares.map((share) => ({
       ...share,
       // Machines that bear work can't be moved anyway.
-      machines: share.machines.filter((machine) => machine.tasks === 0).slice(0, most.machines),
+      machines: inTurn(
+        share.machines.filter((machine) => machine.tasks === 0),
+        most.machines,
+        turn,
+      ),
       demands: share.demands.slice(0, most.demands),
     })),
   };
 }
 
-/** The status with as much of its lists as fits. */
-export function fitStatus(key: string, status: PeerStatus, changeBytes: number): PeerStatus {
-  const whole: PeerStatus = { ...shorten(status, { ...LONGEST }), shares: status.shares };
+/** The status with as much of its lists as fits; each turn tells other parts of those that don't. */
+export function fitStatus(key: string, status: PeerStatus, changeBytes: number, turn = 0): PeerStatus {
+  const whole = essential(status);
   if (encodedBytes(key, whole) <= changeBytes) return whole;
   const most: Lengths = { ...LONGEST };
-  let short = shorten(status, most);
+  let short = shorten(whole, most, turn);
   while (encodedBytes(key, short) > changeBytes && Object.values(most).some((length) => length > 0)) {
-    // What was heard is told again by the next status; waiting work is what the others act on.
-    if (most.heard > 0) most.heard = Math.floor(most.heard / 2);
-    else if (most.machines > 1) most.machines = Math.floor(most.machines / 2);
+    // Waiting work is what the others act on.
+    if (most.machines > 1) most.machines = Math.floor(most.machines / 2);
     else if (most.demands > 1) most.demands = Math.floor(most.demands / 2);
     else if (most.ungranted > 0) most.ungranted = Math.floor(most.ungranted / 2);
     else if (most.machines > 0) most.machines = 0;
     else most.demands = 0;
-    short = shorten(status, most);
+    short = shorten(whole, most, turn);
   }
   return short;
 }
-
-const LONGEST: Readonly<Lengths> = {
-  machines: MOST_MACHINES,
-  demands: MOST_DEMANDS,
-  ungranted: MOST_UNGRANTED,
-  heard: MOST_HEARD,
-};
--- a/packages/core/src/worker-reports.ts
+++ b/packages/core/src/worker-reports.ts
@@ -2,7 +2,7 @@
  * Answers to workers' reports, and who learns what they say. Any controller answers, so that work doesn't die with
  * its owner; only the owner commands. How long, and why that breaks nothing: docs/design.md, "Who may answer workers".
  */
-import { type Command, goHome, type Report, reportAnswer } from '@archpost/wire';
+import { type Command, goHome, MOST_COMMANDS_IN_BODY, type Report, reportAnswer } from '@archpost/wire';
 import type { Context } from './context.js';
 import type { Leader } from './leader.js';
 import type { Ms } from './model.js';
@@ -93,7 +93,8 @@
    */
   private stopsOf(report: Report): Command[] {
     const { finals } = this.context.table;
-    return report.tasks.filter(({ job, state }) => state !== 'exited' && finals.has(job)).map(stopReported);
+    const over = report.tasks.filter(({ job, state }) => state !== 'exited' && finals.has(job));
+    return over.slice(0, MOST_COMMANDS_IN_BODY).map(stopReported);
   }
 
   private answer(id: number, status: number, body: unknown): void {
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -1,24 +1,52 @@
+/** The links between controllers. */
 import net from 'node:net';
 import { decodePeer, encodePeer, type PeerMessage } from '@archpost/wire';
 import { interval, Subject } from 'rxjs';
+import { encodeFrame, FrameReader, FrameTooLarge, MAX_FRAME_BYTES } from './frames.js';
 
-const MAX_FRAME = 4 << 20;
+export * from './frames.js';
+
+/** A link that isn't there is dialled again this often. */
+const REDIAL_MS = 500;
+
+/** A dial that hangs, or a link that takes nothing any more, is given up after this long. */
+const DIAL_MS = 3000;
+
+/** A link on which nothing comes is closed after this long. */
+const SILENT_MS = 10_000;
+
+/** A link on which so much waits is behind: it gets nothing more until it has caught up. */
+const BEHIND_BYTES = 256 * 1024;
+
+/** Another controller: its name, and where it listens. */
+export interface Peer {
+  name: string;
+  addr: string;
+}
+
+/** A message that can't be taken or sent, and whose or to whom it was. */
+export interface LinkProblem {
+  peer: string;
+  error: string;
+}
 
 /**
- * The links between controllers. Each dials all others and only speaks on the links it
- * dialled; what it hears comes on those that others dialled. Frames are a length of four
- * bytes and a protobuf message.
+ * Each controller dials all others and only speaks on the links it dialled; what it hears comes on those that
+ * others dialled.
  */
 export class Peers {
   readonly message$ = new Subject<PeerMessage>();
   readonly down$ = new Subject<string>();
-  readonly unreadable$ = new Subject<string>();
+  readonly unreadable$ = new Subject<LinkProblem>();
+  /** a message that is larger than a frame may be, told once for each controller */
+  readonly unsent$ = new Subject<LinkProblem>();
   private readonly out = new Map<string, net.Socket>();
+  private readonly tooLargeTold = new Set<string>();
 
-  constructor(private readonly others: { name: string; addr: string }[]) {}
+  constructor(private readonly others: Peer[]) {}
 
   listen(host: string, port: number): Promise<void> {
-    const server = net.createServer((s) => this.accept(s));
+    const server = net.createServer((socket) => this.accept(socket));
     return new Promise((resolve, reject) => {
       server.once('error', reject);
       server.listen(port, host, () => resolve());
@@ -26,64 +54,69 @@
   }
 
   start(): void {
-    for (const o of this.others) this.dial(o.name, o.addr);
-    interval(500).subscribe(() => {
-      for (const o of this.others) if (!this.out.has(o.name)) this.dial(o.name, o.addr);
+    for (const peer of this.others) this.dial(peer);
+    interval(REDIAL_MS).subscribe(() => {
+      for (const peer of this.others) if (!this.out.has(peer.name)) this.dial(peer);
     });
   }
 
-  private dial(name: string, addr: string): void {
+  private dial({ name, addr }: Peer): void {
     const cut = addr.lastIndexOf(':');
-    const s = net.connect({ host: addr.slice(0, cut), port: Number(addr.slice(cut + 1)), noDelay: true });
-    this.out.set(name, s);
-    // A dial that hangs, or a link that takes nothing any more, is given up and dialled anew.
-    s.setTimeout(3000, () => s.destroy());
-    s.on('error', () => s.destroy());
-    s.on('close', () => {
-      if (this.out.get(name) === s) this.out.delete(name);
+    const socket = net.connect({ host: addr.slice(0, cut), port: Number(addr.slice(cut + 1)), noDelay: true });
+    this.out.set(name, socket);
+    socket.setTimeout(DIAL_MS, () => socket.destroy());
+    socket.on('error', () => socket.destroy());
+    socket.on('close', () => {
+      if (this.out.get(name) === socket) this.out.delete(name);
     });
   }
 
-  private accept(s: net.Socket): void {
-    let kept: Buffer = Buffer.alloc(0);
-    let node: string | null = null;
-    s.setTimeout(10_000, () => s.destroy());
-    s.on('error', () => s.destroy());
-    s.on('close', () => {
-      if (node !== null) this.down$.next(node);
+  private accept(socket: net.Socket): void {
+    const reader = new FrameReader();
+    let peer: string | null = null;
+    socket.setTimeout(SILENT_MS, () => socket.destroy());
+    socket.on('error', () => socket.destroy());
+    socket.on('close', () => {
+      if (peer !== null) this.down$.next(peer);
     });
-    s.on('data', (d: Buffer) => {
-      kept = kept.length === 0 ? d : Buffer.concat([kept, d]);
-      while (kept.length >= 4) {
-        const n = kept.readUInt32BE(0);
-        if (n > MAX_FRAME) {
-          s.destroy();
-          return;
-        }
-        if (kept.length < 4 + n) return;
-        const frame = kept.subarray(4, 4 + n);
-        kept = kept.subarray(4 + n);
-        try {
-          const message = decodePeer(frame);
-          if (!this.others.some((o) => o.name === message.node)) throw new Error('unknown node');
-          node = message.node;
-          this.message$.next(message);
-        } catch (e) {
-          // Dropped and told of; what comes after it begins at its own frame.
-          this.unreadable$.next(String(e));
-        }
+    socket.on('data', (chunk: Buffer) => {
+      try {
+        for (const body of reader.push(chunk)) peer = this.take(body) ?? peer;
+      } catch (error) {
+        if (!(error instanceof FrameTooLarge)) throw error;
+        this.unreadable$.next({ peer: peer ?? `${socket.remoteAddress}`, error: error.message });
+        socket.destroy();
       }
     });
   }
 
+  /** Hands on a message; one that can't be read is dropped, and what comes after it begins at its own frame. */
+  private take(body: Buffer): string | null {
+    let message: PeerMessage;
+    try {
+      message = decodePeer(body);
+      if (!this.others.some((peer) => peer.name === message.node)) throw new Error('unknown node');
+    } catch (error) {
+      this.unreadable$.next({ peer: 'unknown', error: String(error) });
+      return null;
+    }
+    this.message$.next(message);
+    return message.node;
+  }
+
   /** Sends to one controller. */
   send(message: PeerMessage, to: string): void {
-    const s = this.out.get(to);
+    const socket = this.out.get(to);
     // Old news help nobody: a link that is behind gets none until it has caught up.
-    if (!s || s.connecting || s.writableLength > 256 * 1024) return;
+    if (!socket || socket.connecting || socket.writableLength > BEHIND_BYTES) return;
     const body = encodePeer(message);
-    const head = Buffer.alloc(4);
-    head.writeUInt32BE(body.length);
-    s.write(Buffer.concat([head, body]));
+    if (body.length <= MAX_FRAME_BYTES) socket.write(encodeFrame(body));
+    else this.tooLarge(to, body.length);
+  }
+
+  private tooLarge(to: string, bytes: number): void {
+    if (this.tooLargeTold.has(to)) return;
+    this.tooLargeTold.add(to);
+    this.unsent$.next({ peer: to, error: `a message of ${bytes} bytes is larger than a frame may be` });
   }
 }
--- a/packages/server/src/service.ts
+++ b/packages/server/src/service.ts
@@ -7,12 +7,15 @@
 import { splitAddr, steady } from '@archpost/transport';
 import { Workers } from '@archpost/workers';
 import type { Logger } from 'pino';
-import { interval } from 'rxjs';
+import { interval, throttleTime } from 'rxjs';
 import { Inbox, PAUSE_MS } from './inbox.js';
 import type { Settings } from './settings.js';
 
 const TICK_MS = 100;
 
+/** An answer that can't be read is asked for again at once: it is told of this often. */
+const UNREADABLE_MS = 10_000;
+
 /** Wires the core to its edges: inputs in, effects out. */
 export class Service {
   private readonly core: Core;
@@ -73,7 +76,11 @@
       if (report) inbox.report(() => core.relayed(report, steady()));
       if (status) inbox.decision(() => core.peerStatus(status, steady()));
     });
-    this.peers.unreadable$.subscribe((error) => this.log.warn({ error }, 'a peer message can not be read'));
+    this.peers.unreadable$.subscribe((problem) => this.log.warn(problem, 'a peer message can not be read'));
+    this.peers.unsent$.subscribe((problem) => this.log.error(problem, 'a peer message can not be sent'));
+    const told = throttleTime<string>(UNREADABLE_MS);
+    this.cloud.unreadable$.pipe(told).subscribe((what) => this.log.error({ what }, "the cloud's answer can not be read"));
+    this.store.unreadable$.pipe(told).subscribe((what) => this.log.error({ what }, "the state service's answer can not be read"));
     this.peers.down$.subscribe((n) => inbox.decision(() => core.peerDown(n, steady())));
     this.store.start();
     const peer = splitAddr(this.settings.peerListen);
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -28,6 +28,18 @@
 /** Questions wait for the watch this long, of the two seconds that users give them. */
 const LAZY_MS = 350;
 
+/** Keys in a page, how long one may take, and how often one after the first is asked for. */
+const KEYS_PER_PAGE = 1000;
+const PAGE_MS = 3000;
+const PAGE_TRIES = 3;
+const PAGE_AGAIN_MS = 200;
+
+interface Answer {
+  /** 0: there was none */
+  status: number;
+  body: Record<string, unknown> | null;
+}
+
 /** Connections to the state service: watch, barrier, lease, transactions, and calls that hang. */
 export const STATE_SOCKETS = 16;
 
@@ -36,6 +48,7 @@
   readonly loaded$ = new Subject<StateEvents['loaded']>();
   readonly changes$ = new Subject<StateEvents['changes']>();
   readonly lease$ = new Subject<StateEvents['lease']>();
+  readonly unreadable$ = new Subject<string>();
   private readonly client: Client;
   private readonly budget: Budget;
   private revision = 0;
@@ -66,7 +79,7 @@
     void this.watchLoop();
   }
 
-  private async get(path: string, timeoutMs: number): Promise<{ status: number; body: Record<string, unknown> | null }> {
+  private async get(path: string, timeoutMs: number): Promise<Answer> {
     const o = await this.client.call({ method: 'GET', path, timeoutMs });
     return o.kind === 'answer' ? { status: o.status, body: unpackMap(o.body) } : { status: 0, body: null };
   }
@@ -120,10 +133,7 @@
     let since = '';
     let first = -1;
     for (;;) {
-      await this.budget.take();
-      const at = since === '' ? '' : `&since=${since}`;
-      const r = await this.get(`${PATHS.keys}?starts=${this.prefix}${at}&most=1000`, 3000);
-      const page = r.status === 200 && r.body ? parseRows(r.body) : null;
+      const page = await this.page(since);
       if (!page) return false;
       if (first < 0) first = page.revision;
       rows.push(...page.rows);
@@ -137,12 +147,34 @@
     return r === 'ok';
   }
 
+  /** A page of all keys; a later one is asked for again, since all that came before it would be lost. */
+  private async page(since: string): Promise<ReturnType<typeof parseRows>> {
+    const at = since === '' ? '' : `&since=${since}`;
+    const path = `${PATHS.keys}?starts=${this.prefix}${at}&most=${KEYS_PER_PAGE}`;
+    for (let tries = since === '' ? 1 : PAGE_TRIES; tries > 0; tries--) {
+      await this.budget.take();
+      const answer = await this.get(path, PAGE_MS);
+      const page = this.readable(answer, 'keys', parseRows);
+      if (page || answer.status === 200) return page;
+      await sleep(PAGE_AGAIN_MS);
+    }
+    return null;
+  }
+
+  /** What the answer says; null if it was refused, or can't be read, which is told. */
+  private readable<T>({ status, body }: Answer, what: string, parse: (body: Record<string, unknown>) => T | null): T | null {
+    if (status !== 200) return null;
+    const parsed = body && parse(body);
+    if (parsed === null) this.unreadable$.next(what);
+    return parsed;
+  }
+
   private async read(waitMs: number, timeoutMs: number): Promise<'ok' | 'old' | 'failed'> {
     await this.budget.take();
     const asOf = steady();
     const r = await this.get(`${PATHS.changes}?starts=${this.prefix}&since=${this.revision}&wait_ms=${waitMs}`, timeoutMs);
     if (r.status === 410) return 'old';
-    const page = r.status === 200 && r.body ? parseChanges(r.body) : null;
+    const page = this.readable(r, 'changes', parseChanges);
     if (!page) return 'failed';
     if (page.revision > this.revision) this.revision = page.revision;
     if (asOf > this.readAt) this.readAt = asOf;
--- a/packages/wire/src/cloud.ts
+++ b/packages/wire/src/cloud.ts
@@ -89,6 +89,11 @@
   };
 }
 
+/** Most machines that the cloud takes or tells of in one request. */
+export const MOST_RENTED = 50;
+export const MOST_RETURNED = 100;
+export const MOST_LISTED = 500;
+
 export interface Rental {
   request: string;
   type: string;
--- a/packages/wire/src/names.ts
+++ b/packages/wire/src/names.ts
@@ -17,8 +17,13 @@
   changes: '/changes',
 } as const;
 
+/** A request body, and an answer to workers or users, in the form in which PROTOCOL counts it (JSON). */
 export const MAX_BODY = 64 * 1024;
 
+/** A command to a worker is smaller than this, so many as these fit a body. */
+const COMMAND_BYTES = 160;
+export const MOST_COMMANDS_IN_BODY = Math.floor(MAX_BODY / COMMAND_BYTES);
+
 export type Shape = 'array' | 'gang' | 'service';
 export const SHAPE_FROM_WIRE: Record<string, Shape> = { sweep: 'array', gang: 'gang', standing: 'service' };
 
