Heap, sockets and first lead at 4,000 machines: derived from the settings, shed by rank, nothing thrown away

More workers than sockets lost their connections in whatever order. And on loopback, where the cloud lists machines as up for an hour, the first lead gave back 71 of 100 machines within a second: they were 'late', since their workers had not reported yet.

Change: a process whose memory allows a larger heap runs the service in a thread with that heap (46 MB and 17 KB a socket are left, 52 MB more for the thread); one with less collects garbage beyond 85% of its memory; with 178 MB nothing differs. Beyond 90% of the sockets left to them users' connections are closed once answered, beyond 95% workers' too. A machine that the cloud lists as running is given back as never up only after a lead has listened for 60 s.

--- a/packages/api/src/index.ts
+++ b/packages/api/src/index.ts
@@ -1,9 +1,10 @@
 import http from 'node:http';
 import { MAX_BODY, PATHS, pack, parseReport, type Report, unpackMap } from '@archpost/wire';
 import express from 'express';
+import { type Client, Connections } from './connections.js';
 import { Shedding } from './shedding.js';
 
-export { Shedding };
+export { Connections, Shedding };
 
 /** What the edge hands on. Each carries the id that its answer must bear. */
 export type Request =
@@ -22,9 +23,17 @@
 /** The answer to who is refused at the door. */
 const OVERLOADED = { error: 'overloaded' };
 
+/** A request that was handed on and waits for its answer. */
+interface OpenRequest {
+  res: http.ServerResponse;
+  client: Client;
+  /** the job that it asks about */
+  job: string | null;
+}
+
 /** The HTTP interface to users and workers. */
 export class Api {
-  private readonly open = new Map<number, { res: http.ServerResponse; job: string | null }>();
+  private readonly open = new Map<number, OpenRequest>();
   private nextId = 1;
   readonly app: express.Express;
   /** what was answered last: questions about one job share their answer, and its bytes */
@@ -36,6 +45,7 @@
     private readonly healthy: () => boolean,
     private readonly shedding: Shedding,
     private readonly unreadable: (from: string) => void = () => {},
+    readonly connections = new Connections(Number.POSITIVE_INFINITY),
   ) {
     const app = express();
     this.app = app;
@@ -81,6 +91,7 @@
         else if (req.url?.startsWith(PATHS.jobs) && !this.shedding.request()) this.refuse(req, res);
         else this.app(req, res);
       });
+      this.connections.watch(server);
       server.listen(port, host);
       server.keepAliveTimeout = IDLE_MS;
       server.requestTimeout = MUTE_MS;
@@ -107,9 +118,9 @@
       const report = body && parseReport(body);
       if (!report) {
         this.unreadable(`${req.socket.remoteAddress}`);
-        return this.reply(res, 400, { error: 'not a report' });
+        return this.reply(res, 400, { error: 'not a report' }, undefined, 'worker');
       }
-      this.handle({ kind: 'report', id: this.keep(res), report });
+      this.handle({ kind: 'report', id: this.keep(res, null, 'worker'), report });
     });
   }
 
@@ -134,9 +145,9 @@
     this.reply(res, 503, OVERLOADED, 1);
   }
 
-  private keep(res: http.ServerResponse, job: string | null = null): number {
+  private keep(res: http.ServerResponse, job: string | null = null, client: Client = 'user'): number {
     const id = this.nextId++;
-    this.open.set(id, { res, job });
+    this.open.set(id, { res, client, job });
     res.once('close', () => this.open.delete(id));
     return id;
   }
@@ -147,10 +158,10 @@
     if (!asked) return;
     this.open.delete(id);
     if (asked.job !== null && status !== 503) this.shedding.told(asked.job);
-    this.reply(asked.res, status, body, retryAfterS);
+    this.reply(asked.res, status, body, retryAfterS, asked.client);
   }
 
-  private reply(res: http.ServerResponse, status: number, body: unknown, retryAfterS?: number): void {
+  private reply(res: http.ServerResponse, status: number, body: unknown, retryAfterS?: number, client: Client = 'user'): void {
     if (res.headersSent || res.destroyed) return;
     if (body !== this.lastBody) {
       this.lastBody = body;
@@ -160,6 +171,7 @@
     res.statusCode = status;
     res.setHeader('content-type', 'application/msgpack');
     res.setHeader('content-length', bytes.length);
+    if (!this.connections.mayStay(client)) res.setHeader('connection', 'close');
     if (retryAfterS !== undefined) res.setHeader('retry-after', String(retryAfterS));
     res.end(bytes);
   }
--- a/packages/cloud/src/index.ts
+++ b/packages/cloud/src/index.ts
@@ -15,6 +15,9 @@
 } from '@archpost/wire';
 import { Subject } from 'rxjs';
 
+/** Connections to the cloud. */
+export const CLOUD_SOCKETS = 6;
+
 /** Part of this controller's requests that pages of lists may take. */
 const LIST_SHARE = 0.5;
 
@@ -38,7 +41,7 @@
   readonly unreadable$ = new Subject<string>();
 
   constructor(addr: string, rps: number) {
-    this.client = new Client(addr, 6);
+    this.client = new Client(addr, CLOUD_SOCKETS);
     this.budget = new Budget(rps, steady);
     this.listBudget = new Budget(rps * LIST_SHARE, steady);
   }
--- a/packages/core/src/rentals.ts
+++ b/packages/core/src/rentals.ts
@@ -36,6 +36,12 @@
 /** A machine that was rented is in a list after this long. */
 const SHOWN_MS = 60_000;
 
+/** A machine that runs and that no controller has heard is given back once a lead has listened for so long. */
+const UNHEARD_MS = 60_000;
+
+/** A machine that was given back may still be listed for so long. */
+const RETURN_SHOWS_MS = 60_000;
+
 /** Machines that one demand may ask for in a round: so many, or one for each so many that there are. */
 const MOST_FOR_DEMAND = 40;
 const MACHINES_PER_PURCHASE = 25;
@@ -417,10 +423,8 @@
     for (const l of this.listed.values()) {
       if (this.context.table.machines.has(l.machine) || this.granting(l.machine)) continue;
       const gone = this.goneAt.get(l.machine);
-      if (l.state === 'failed' || this.listedAge(l, now) > 2 * this.bootLimitMs(l.type, now)) {
-        if (gone !== undefined && now - gone < 60_000) continue;
-        back.push(l.machine);
-      }
+      if (gone !== undefined && now - gone < RETURN_SHOWS_MS) continue;
+      if (this.isOverdue(l, now)) back.push(l.machine);
     }
     for (const [name, b] of this.booting) if (now - b.at > this.shownMs) this.booting.delete(name);
     if (back.length === 0) return;
@@ -431,6 +435,17 @@
     this.context.emit({ t: 'return', id, machines: some });
   }
 
+  /**
+   * Failed, or not up for twice as long as its type takes. One that the cloud says runs has a worker that may not have
+   * come to this lead yet: the first lead over machines that had been up for long gave back all that had not reported
+   * within its first second.
+   */
+  private isOverdue(listed: Listed, now: Ms): boolean {
+    if (listed.state === 'failed') return true;
+    if (this.listedAge(listed, now) <= 2 * this.bootLimitMs(listed.type, now)) return false;
+    return listed.state !== 'running' || now - this.since > UNHEARD_MS;
+  }
+
   returned(id: number, ok: boolean, now: Ms): boolean {
     const names = this.returns.get(id);
     if (!names) return false;
--- a/packages/server/src/index.ts
+++ b/packages/server/src/index.ts
@@ -1,10 +1,13 @@
 import { existsSync } from 'node:fs';
 import { dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
+import { isMainThread } from 'node:worker_threads';
 import { Command } from 'commander';
-import { pino } from 'pino';
+import { type Logger, pino } from 'pino';
+import { shortages } from './capacity.js';
+import { collectBeyond, heapLimitMb, planHeap, runInThread } from './memory.js';
 import { Service } from './service.js';
-import { loadSettings, SettingsError } from './settings.js';
+import { loadSettings, type Settings, SettingsError } from './settings.js';
 
 declare const ARCHPOST_VERSION: string;
 
@@ -26,6 +29,8 @@
   .action(async (o: { config: string; operator?: string; check?: boolean }) => {
     const settings = loadSettings(o.config, operatorFile(o.operator));
     if (o.check) {
+      for (const { what, short, need, have } of shortages(settings))
+        process.stdout.write(`${o.config}: ${what}: ${have} is ${short} short of ${need}\n`);
       process.stdout.write(`${o.config}: in order\n`);
       return;
     }
@@ -35,9 +40,21 @@
     const log = pino({ level, base: { node: settings.core.node } }, pino.destination({ dest: 2, sync: true }));
     process.on('unhandledRejection', (e) => log.error({ err: e }, 'unexpected'));
     process.on('uncaughtException', (e) => log.error({ err: e }, 'unexpected'));
+    if (isMainThread && startsElsewhere(settings, log)) return;
+    for (const shortage of shortages(settings)) log.warn(shortage, 'settings are short');
     await new Service(settings, log).start();
   });
 
+/** Runs the service in a thread with the heap that its memory allows, if this one's doesn't fit. */
+function startsElsewhere(settings: Settings, log: Logger): boolean {
+  const plan = planHeap({ memoryMb: settings.memoryMb, sockets: settings.maxSockets }, heapLimitMb());
+  log.debug(plan, 'heap');
+  if (plan.kind === 'collect') collectBeyond(plan.beyondMb);
+  if (plan.kind !== 'thread') return false;
+  runInThread(process.argv[1] as string, plan.heapMb);
+  return true;
+}
+
 program.parseAsync().catch((e: unknown) => {
   process.stderr.write(`archpost: ${e instanceof Error ? e.message : String(e)}\n`);
   process.exit(e instanceof SettingsError ? 2 : 1);
--- a/packages/server/src/service.ts
+++ b/packages/server/src/service.ts
@@ -1,5 +1,5 @@
 import { randomUUID } from 'node:crypto';
-import { Api, type Request, Shedding } from '@archpost/api';
+import { Api, Connections, type Request, Shedding } from '@archpost/api';
 import { Cloud } from '@archpost/cloud';
 import { Core, type Effect } from '@archpost/core';
 import { Peers } from '@archpost/peers';
@@ -8,6 +8,7 @@
 import { Workers } from '@archpost/workers';
 import type { Logger } from 'pino';
 import { interval, throttleTime } from 'rxjs';
+import { commandSockets, inboundSockets } from './capacity.js';
 import { Inbox, PAUSE_MS } from './inbox.js';
 import type { Settings } from './settings.js';
 
@@ -56,13 +57,14 @@
     this.cloud = new Cloud(settings.cloud, c.cloud.rps * Math.max(0.5, 0.9 / nodes));
     // All workers may come to one controller, with a connection each: those for commands, of which
     // the longest unused are closed, must leave room for that, and for users.
-    this.workers = new Workers(Math.floor(settings.maxSockets / 6));
+    this.workers = new Workers(commandSockets(settings));
     this.peers = new Peers(settings.others);
     this.api = new Api(
       (r) => this.request(r),
       () => this.core.ready,
       this.shedding,
       (from) => this.log.warn({ from }, 'a report can not be read'),
+      new Connections(inboundSockets(settings)),
     );
   }
 
--- a/packages/server/src/settings.ts
+++ b/packages/server/src/settings.ts
@@ -68,6 +68,7 @@
   state: string;
   clockErrorMs: number;
   maxSockets: number;
+  memoryMb: number;
 }
 
 function check<T>(name: string, schema: z.ZodType<T>, value: unknown): T {
@@ -221,5 +222,6 @@
     state: s.external.state,
     clockErrorMs: s.params.clock_error_ms,
     maxSockets: s.params.machine_limits.max_sockets,
+    memoryMb: s.params.machine_limits.mem_mb,
   };
 }
--- /dev/null
+++ b/test/loopback/cloud-server.ts
@@ -0,0 +1,70 @@
+// The cloud on loopback: machine types, a list in pages, returns; it has no further machines to rent out.
+import type { MachineType } from '@archpost/wire';
+import { TYPES } from '../cluster/fixtures.js';
+import { type LoopbackAnswer, type LoopbackRequest, listen, serverFor } from './http.js';
+
+/** All machines have been up for an hour. */
+const AGE_S = 3600;
+
+/** A machine as the cloud lists it. */
+export interface ListedMachine {
+  name: string;
+  address: string;
+  type: string;
+  zone: string;
+}
+
+function typeOnWire(type: MachineType): Record<string, unknown> {
+  return {
+    name: type.name,
+    cores: type.cpus,
+    accelerators: type.gpus,
+    memory_gb: type.memory,
+    cache_gb: type.cacheGb,
+    fetch_gb_per_s: type.fetchGbPerS,
+    hourly: type.price,
+    spot_price: type.spotPrice,
+    boot_s: type.bootS,
+    yards: type.zones,
+  };
+}
+
+export class CloudServer {
+  readonly returned = new Set<string>();
+  private readonly server = serverFor((request) => this.handle(request));
+
+  /** `machines`: in the order of their names */
+  constructor(private readonly machines: () => readonly ListedMachine[]) {}
+
+  listen(): Promise<string> {
+    return listen(this.server);
+  }
+
+  close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private handle({ method, path, query, body }: LoopbackRequest): LoopbackAnswer {
+    if (path === '/machine_types') return { status: 200, body: { builds: TYPES.map(typeOnWire) } };
+    if (path === '/machines' && method === 'GET') return this.list(query);
+    if (path === '/machines') return { status: 503, body: { error: 'no capacity' } };
+    for (const name of body.hosts as string[]) this.returned.add(name);
+    return { status: 200, body: {} };
+  }
+
+  private list(query: URLSearchParams): LoopbackAnswer {
+    const since = query.get('since') ?? '';
+    const all = this.machines().filter(({ name }) => name > since && !this.returned.has(name));
+    const hosts = all.slice(0, Number(query.get('most') ?? 500)).map(({ name, address, type, zone }) => ({
+      ref: name,
+      address,
+      build: type,
+      yard: zone,
+      loaners: false,
+      status: 'running',
+      age_s: AGE_S,
+    }));
+    return { status: 200, body: { hosts, has_next: hosts.length < all.length } };
+  }
+}
--- /dev/null
+++ b/test/loopback/controller-process.ts
@@ -0,0 +1,146 @@
+// A real controller: the program as deploy/service.toml starts it, on loopback addresses.
+import { type ChildProcess, spawn } from 'node:child_process';
+import { mkdtempSync, readFileSync, writeFileSync } from 'node:fs';
+import http from 'node:http';
+import net from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { parse } from 'smol-toml';
+
+/** What of its settings a test chooses. */
+export interface ControllerSettings {
+  name: string;
+  zone: string;
+  publicAddress: string;
+  peerAddress: string;
+  others: { name: string; zone: string; peerAddress: string }[];
+  cloud: string;
+  state: string;
+  zones: string[];
+  memoryMb: number;
+  sockets: number;
+  writesPerS: number;
+}
+
+function toml(settings: ControllerSettings): string {
+  const others = settings.others.map(
+    ({ name, zone, peerAddress }) => `[[others]]\nhost_name = "${name}"\nlocation = "${zone}"\npeer_addr = "${peerAddress}"\n`,
+  );
+  return `host_name = "${settings.name}"
+location = "${settings.zone}"
+public_addr = "${settings.publicAddress}"
+peer_listen = "${settings.peerAddress}"
+${others.join('')}
+[external]
+cloud = "${settings.cloud}"
+state = "${settings.state}"
+[params]
+initial_size = ${settings.others.length + 1}
+zones = [${settings.zones.map((zone) => `"${zone}"`).join(', ')}]
+clock_error_ms = 5.0
+[[params.teams]]
+name = "red"
+cpus = 100.0
+cpus_max = 100000.0
+gpus = 8.0
+gpus_max = 10000.0
+[params.workers]
+report_s = 2.0
+lease_s = 12.0
+gang_wait_s = 40.0
+gang_peer_s = 4.0
+cancel_s = 37.0
+[params.state]
+rps = ${2 * settings.writesPerS}.0
+write_rps = ${settings.writesPerS}.0
+value_kb = 16.0
+txn_ops = 24
+[params.cloud]
+rps = 20.0
+list_lag_s = 1.0
+[params.machine_limits]
+cpu_share = 1.0
+mem_mb = ${settings.memoryMb}.0
+max_sockets = ${settings.sockets}
+`;
+}
+
+/** A port of 127.0.0.1 that nobody listens on. */
+export function freeAddress(): Promise<string> {
+  return new Promise((resolve, reject) => {
+    const probe = net.createServer();
+    probe.once('error', reject);
+    probe.listen(0, '127.0.0.1', () => {
+      const address = `127.0.0.1:${(probe.address() as net.AddressInfo).port}`;
+      probe.close(() => resolve(address));
+    });
+  });
+}
+
+export class ControllerProcess {
+  private child: ChildProcess | null = null;
+  readonly log: Record<string, unknown>[] = [];
+  /** how the last run ended; null: it has not */
+  ended: { code: number | null; signal: string | null } | null = null;
+  private readonly file: string;
+  private rest = '';
+
+  constructor(readonly settings: ControllerSettings) {
+    this.file = join(mkdtempSync(join(tmpdir(), 'archpost-loopback-')), 'settings.toml');
+    writeFileSync(this.file, toml(settings));
+  }
+
+  start(options: string[] = []): void {
+    const { run } = parse(readFileSync('deploy/service.toml', 'utf8')) as { run: string };
+    const [program, ...args] = [...run.split(' '), this.file, ...options];
+    this.ended = null;
+    this.child = spawn(program as string, args, {
+      stdio: ['ignore', 'ignore', 'pipe'],
+      env: { ...process.env, LOG_LEVEL: 'debug' },
+    });
+    this.child.stderr?.on('data', (text: Buffer) => this.read(String(text)));
+    this.child.on('exit', (code, signal) => {
+      this.ended = { code, signal };
+    });
+  }
+
+  private read(text: string): void {
+    const lines = (this.rest + text).split('\n');
+    this.rest = lines.pop() ?? '';
+    for (const line of lines) {
+      try {
+        this.log.push(JSON.parse(line));
+      } catch {
+        this.log.push({ msg: line });
+      }
+    }
+  }
+
+  /** Megabytes that the process holds. */
+  residentMb(): number {
+    const status = readFileSync(`/proc/${this.child?.pid}/status`, 'utf8');
+    return Number(/VmRSS:\s+(\d+)/.exec(status)?.[1] ?? 0) / 1024;
+  }
+
+  /** Processor time that it took so far, in milliseconds. */
+  processorMs(): number {
+    const fields = readFileSync(`/proc/${this.child?.pid}/stat`, 'utf8').split(') ')[1]?.split(' ') ?? [];
+    return (Number(fields[11]) + Number(fields[12])) * 10;
+  }
+
+  /** Does it say that it can take requests? */
+  isUp(): Promise<boolean> {
+    return new Promise((resolve) => {
+      const request = http.get(`http://${this.settings.publicAddress}/up`, { timeout: 1000 }, (response) => {
+        response.resume();
+        resolve(response.statusCode === 200);
+      });
+      request.on('timeout', () => request.destroy());
+      request.on('error', () => resolve(false));
+    });
+  }
+
+  stop(): void {
+    this.child?.kill('SIGKILL');
+  }
+}
--- /dev/null
+++ b/test/loopback/state-server.ts
@@ -0,0 +1,102 @@
+// The state service on loopback: the stand-in of the simulated clusters behind PROTOCOL's HTTP interface.
+import type { Guard, Write } from '@archpost/wire';
+import { StateStandIn } from '../cluster/state-service.js';
+import { type LoopbackAnswer, type LoopbackRequest, listen, serverFor } from './http.js';
+
+const MOST_ROWS = 1000;
+const EXPIRE_EACH_MS = 50;
+
+interface WireWrite {
+  write?: string;
+  remove?: string;
+  v?: unknown;
+  permit?: number;
+}
+
+function writeOf({ write, remove, v, permit }: WireWrite): Write {
+  if (write === undefined) return { del: remove as string };
+  return permit === undefined ? { put: write, value: v } : { put: write, value: v, lease: permit };
+}
+
+export class StateServer {
+  readonly state = new StateStandIn();
+  private readonly server = serverFor((request) => this.handle(request));
+  private readonly waiting = new Set<() => void>();
+  private readonly expiry = setInterval(() => this.change(() => this.state.expire(Date.now())), EXPIRE_EACH_MS);
+
+  listen(): Promise<string> {
+    return listen(this.server);
+  }
+
+  close(): void {
+    clearInterval(this.expiry);
+    for (const wake of [...this.waiting]) wake();
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  /** Wakes those that watch, if the step changed anything. */
+  private change<T>(step: () => T): T {
+    const before = this.state.revision;
+    const result = step();
+    if (this.state.revision !== before) for (const wake of [...this.waiting]) wake();
+    return result;
+  }
+
+  private handle(request: LoopbackRequest): LoopbackAnswer | Promise<LoopbackAnswer> {
+    const { path } = request;
+    if (path === '/txn') return this.transaction(request);
+    if (path === '/changes') return this.changes(request);
+    if (path === '/keys') return this.rows(request);
+    if (path.startsWith('/leases')) return this.lease(request);
+    return { status: 400, body: {} };
+  }
+
+  private transaction({ body }: LoopbackRequest): LoopbackAnswer {
+    const guards = (body.guards as { k: string; stamp: number }[]).map(({ k, stamp }): Guard => ({ key: k, stamp }));
+    const writes = ((body.writes ?? []) as WireWrite[]).map(writeOf);
+    const outcome = this.change(() => this.state.txn({ t: 'txn', id: 0, guards, writes }, Date.now()));
+    if (outcome.kind === 'ok') return { status: 200, body: { ledger: outcome.revision } };
+    if (outcome.kind === 'failed') return { status: 409, body: { failed: outcome.keys, ledger: this.state.revision } };
+    return { status: 400, body: { error: outcome.kind === 'noLease' ? 'no such lease' : outcome.kind } };
+  }
+
+  private lease({ path, body }: LoopbackRequest): LoopbackAnswer {
+    const id = Number(path.split('/')[2] ?? 0);
+    if (id === 0) return { status: 200, body: { permit: this.state.lease(Number(body.ttl_ms), Date.now()) } };
+    return this.state.extend(id, Date.now()) ? { status: 200, body: {} } : { status: 404, body: {} };
+  }
+
+  private rows({ query }: LoopbackRequest): LoopbackAnswer {
+    const starts = query.get('starts') ?? '';
+    const since = query.get('since') ?? '';
+    const keys = [...this.state.keys.keys()].filter((key) => key.startsWith(starts) && key > since).sort();
+    const page = keys.slice(0, Math.min(MOST_ROWS, Number(query.get('most') ?? MOST_ROWS)));
+    const rows = page.map((key) => ({ k: key, v: this.state.keys.get(key)?.value, stamp: this.state.keys.get(key)?.stamp }));
+    return { status: 200, body: { rows, has_next: page.length < keys.length, ledger: this.state.revision } };
+  }
+
+  private async changes({ query }: LoopbackRequest): Promise<LoopbackAnswer> {
+    const since = Number(query.get('since'));
+    const starts = query.get('starts') ?? '';
+    const until = Date.now() + Number(query.get('wait_ms') ?? 0);
+    const news = () => this.state.since(since).filter(({ key }) => key.startsWith(starts));
+    while (news().length === 0 && Date.now() < until) await this.nextChange(until - Date.now());
+    const log = news().map(({ key, value, stamp }) =>
+      value === undefined ? { remove: key, stamp } : { write: key, v: value, stamp },
+    );
+    return { status: 200, body: { ledger: this.state.revision, log } };
+  }
+
+  private nextChange(mostMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      const wake = () => {
+        clearTimeout(timer);
+        this.waiting.delete(wake);
+        resolve();
+      };
+      const timer = setTimeout(wake, mostMs);
+      this.waiting.add(wake);
+    });
+  }
+}
--- /dev/null
+++ b/test/loopback/worker-fleet.ts
@@ -0,0 +1,173 @@
+// Workers on loopback, each with an address of its own (127.x.y.z): they report, and carry out what they are told.
+import http from 'node:http';
+import net from 'node:net';
+import { pack, unpackMap } from '@archpost/wire';
+import type { ListedMachine } from './cloud-server.js';
+import { type LoopbackAnswer, type LoopbackRequest, serverFor } from './http.js';
+
+const REPORT_MS = 2000;
+const TRY_NEXT_MS = 1000;
+const CHANGED_MS = 500;
+
+interface Order {
+  verb: 'run' | 'stop' | 'clear';
+  piece: string;
+  try: number;
+}
+
+interface Task {
+  piece: string;
+  try: number;
+  status: string;
+  cause?: string;
+}
+
+/** One worker. Its tasks run until they are stopped. */
+export class LoopbackWorker {
+  readonly tasks = new Map<string, Task>();
+  private token = 0;
+  private number = 0;
+  private target = 0;
+  private timer: NodeJS.Timeout | null = null;
+  /** reports that were answered 200 */
+  answered = 0;
+
+  constructor(
+    readonly machine: ListedMachine,
+    private readonly fleet: WorkerFleet,
+  ) {}
+
+  start(): void {
+    this.schedule(Math.random() * REPORT_MS);
+  }
+
+  stop(): void {
+    if (this.timer) clearTimeout(this.timer);
+  }
+
+  private schedule(ms: number): void {
+    if (this.timer) clearTimeout(this.timer);
+    this.timer = setTimeout(() => void this.sendReport(), ms);
+  }
+
+  private report(): Record<string, unknown> {
+    const { name, address, type, zone } = this.machine;
+    const pieces = [...this.tasks.values()];
+    const numbers = { shift: 1, tally: ++this.number, baton: this.token };
+    return { host: name, address, build: type, yard: zone, loaners: false, ...numbers, warning_s: null, pieces };
+  }
+
+  private async sendReport(): Promise<void> {
+    const { controllers } = this.fleet;
+    const answer = await this.fleet.post(controllers[this.target % controllers.length] as string, '/checkin', this.report());
+    const home = typeof answer?.body.home === 'string' ? this.fleet.names.indexOf(answer.body.home) : -1;
+    if (answer?.status === 200) {
+      this.answered++;
+      this.obey(answer.body);
+      this.schedule(REPORT_MS * (0.75 + 0.5 * Math.random()));
+    } else if (answer?.status === 421 && home >= 0 && home !== this.target % controllers.length) {
+      this.target = home;
+      this.schedule(Math.random() * CHANGED_MS);
+    } else {
+      this.target++;
+      this.schedule(TRY_NEXT_MS);
+    }
+  }
+
+  private obey(body: Record<string, unknown>): boolean {
+    const token = Number(body.baton ?? 0);
+    if (token < this.token) return false;
+    this.token = token;
+    for (const order of (body.orders ?? []) as Order[]) this.carryOut(order);
+    return true;
+  }
+
+  private carryOut({ verb, piece, try: attempt }: Order): void {
+    const key = `${piece}/${attempt}`;
+    const task = this.tasks.get(key);
+    if (verb === 'run' && !task) this.tasks.set(key, { piece, try: attempt, status: 'running' });
+    if (verb === 'stop' && task) Object.assign(task, { status: 'ended', cause: 'stopped' });
+    if (verb === 'clear' && task?.status === 'ended') this.tasks.delete(key);
+  }
+
+  /** A direct command, or a question. */
+  handle({ path, body }: LoopbackRequest): LoopbackAnswer {
+    if (path === '/show') return { status: 200, body: this.report() };
+    const current = Number(body.shift) === 1 && this.obey(body);
+    if (current && (body.orders as Order[]).length > 0) this.schedule(CHANGED_MS);
+    return { status: current ? 200 : 409, body: this.report() };
+  }
+}
+
+export class WorkerFleet {
+  readonly workers: LoopbackWorker[] = [];
+  private readonly byAddress = new Map<string, LoopbackWorker>();
+  private readonly listeners: net.Server[] = [];
+  private readonly agent = new http.Agent({ keepAlive: true });
+  private readonly agents = new Map<string, http.Agent>();
+  private readonly server = serverFor((request) => {
+    const worker = this.byAddress.get(request.to);
+    return worker ? worker.handle(request) : { status: 404, body: {} };
+  });
+
+  /** The controllers' names and public addresses, in the same order. */
+  constructor(
+    readonly names: string[],
+    readonly controllers: string[],
+  ) {}
+
+  async add(count: number, zones: string[]): Promise<void> {
+    for (let i = this.workers.length; this.workers.length < count; i++) {
+      const host = `127.${1 + (i >> 16)}.${(i >> 8) & 255}.${i & 255}`;
+      if (host.endsWith('.0') || host.endsWith('.255')) continue;
+      const listener = net.createServer((socket) => this.server.emit('connection', socket));
+      const port = await new Promise<number>((resolve, reject) => {
+        listener.once('error', reject);
+        listener.listen(0, host, () => resolve((listener.address() as net.AddressInfo).port));
+      });
+      this.listeners.push(listener);
+      const zone = zones[i % zones.length] as string;
+      const machine = { name: `n-${String(i).padStart(6, '0')}`, address: `${host}:${port}`, type: 'small', zone };
+      const worker = new LoopbackWorker(machine, this);
+      this.byAddress.set(host, worker);
+      this.workers.push(worker);
+    }
+  }
+
+  start(): void {
+    for (const worker of this.workers) worker.start();
+  }
+
+  close(): void {
+    for (const worker of this.workers) worker.stop();
+    for (const listener of this.listeners) listener.close();
+    this.server.closeAllConnections();
+    this.agent.destroy();
+    for (const agent of this.agents.values()) agent.destroy();
+  }
+
+  post(address: string, path: string, body: unknown): Promise<{ status: number; body: Record<string, unknown> } | null> {
+    const [host, port] = address.split(':') as [string, string];
+    const bytes = pack(body);
+    return new Promise((resolve) => {
+      const request = http.request({
+        agent: this.agent,
+        host,
+        port: Number(port),
+        method: 'POST',
+        path,
+        timeout: 4000,
+        headers: { 'content-type': 'application/msgpack', 'content-length': bytes.length },
+      });
+      request.on('timeout', () => request.destroy());
+      request.on('error', () => resolve(null));
+      request.on('response', (response) => {
+        const parts: Buffer[] = [];
+        response.on('data', (part: Buffer) => parts.push(part));
+        response.on('error', () => resolve(null));
+        response.on('end', () => resolve({ status: response.statusCode ?? 0, body: unpackMap(Buffer.concat(parts)) ?? {} }));
+      });
+      request.end(bytes);
+    });
+  }
+}
