--- a/packages/api/src/connections.ts
+++ b/packages/api/src/connections.ts
@@ -13,10 +13,16 @@
 
 export class Connections {
   private open = 0;
+  private dropped = 0;
 
   constructor(private readonly limit: number) {}
 
+  /** Beyond the limit new connections are closed at once: what this process opens itself needs the other sockets. */
   watch(server: http.Server): void {
+    if (Number.isFinite(this.limit)) server.maxConnections = this.limit;
+    server.on('drop', () => {
+      this.dropped++;
+    });
     server.on('connection', (socket: net.Socket) => {
       this.open++;
       socket.once('close', () => {
@@ -30,6 +36,13 @@
     return this.open;
   }
 
+  /** How many were refused since this was last asked. */
+  takeDropped(): number {
+    const { dropped } = this;
+    this.dropped = 0;
+    return dropped;
+  }
+
   mayStay(client: Client): boolean {
     return this.open <= this.limit * KEPT_SHARE[client];
   }
--- a/packages/server/src/service.ts
+++ b/packages/server/src/service.ts
@@ -101,6 +101,8 @@
     interval(10_000).subscribe(() => {
       const refused = this.shedding.refused();
       if (refused.questions + refused.requests > 0) this.log.info(refused, 'users refused');
+      const connections = this.api.connections.takeDropped();
+      if (connections > 0) this.log.warn({ connections }, 'connections refused');
       const cpu = process.cpuUsage();
       const { rss, heapUsed } = process.memoryUsage();
       const mb = (n: number) => Math.round(n / 1048576);
