--- a/test/heartbeat-connections.test.ts
+++ b/test/heartbeat-connections.test.ts
@@ -3,20 +3,10 @@
 import assert from 'node:assert/strict';
 import net from 'node:net';
 import { type TestContext, test } from 'node:test';
-import { type ApiRequest, ConnectionLimiter, HttpApi, LoadShedder } from '@archpost/http-api';
+import { type ApiRequest, ConnectionLimiter, type HttpApi } from '@archpost/http-api';
 import { PATHS, pack, unpackMap } from '@archpost/protocol';
 import { HttpListener } from '../packages/http-api/src/http-listener.js';
-
-const REPORT = pack({
-  host: 'n-1',
-  address: '1.2.3.4:5',
-  build: 'g8',
-  yard: 'a',
-  loaners: false,
-  shift: 1,
-  tally: 1,
-  pieces: [],
-});
+import { IDLE_HEARTBEAT, type ListeningHttpApi, listeningHttpApi } from './loopback/http-api-server.js';
 
 function request(body: Uint8Array, start = `POST ${PATHS.heartbeat}`, headers = ''): Buffer {
   const head = `${start} HTTP/1.1\r\nHost: c\r\n${headers}Content-Length: ${body.length}\r\n\r\n`;
@@ -84,20 +74,13 @@
 
 async function door(context: TestContext, connections = new ConnectionLimiter(100)): Promise<Door> {
   const requests: ApiRequest[] = [];
-  const api: HttpApi = new HttpApi({
+  const { api, port }: ListeningHttpApi = await listeningHttpApi(context, {
     onRequest: (each) => {
       requests.push(each);
       if (!opened.isHeld) api.respond(each.id, 200, { kind: each.kind });
     },
-    isReady: () => true,
-    loadShedder: new LoadShedder(() => 0),
-    onMalformedHeartbeat: () => {},
     connections,
   });
-  // Whatever fails: a server that is left open keeps the test from ending.
-  context.after(() => api.close());
-  const server = await api.listen('127.0.0.1', 0);
-  const { port } = server.address() as net.AddressInfo;
   const connect = () =>
     new Promise<RawClient>((resolve) => {
       const socket = net.connect(port, '127.0.0.1', () => resolve(new RawClient(socket)));
@@ -109,13 +92,13 @@
 test('heartbeats, whole and in pieces, are taken one after the other on one connection', async (context) => {
   const { api, requests, connect } = await door(context);
   const client = await connect();
-  client.socket.write(request(REPORT));
+  client.socket.write(request(IDLE_HEARTBEAT));
   const first = await client.reply();
   assert.equal(first?.status, 200);
   assert.deepEqual(first?.body, { kind: 'heartbeat' });
   assert.doesNotMatch(first?.head ?? '', /connection: close/);
   // Cut within the head, and within the body.
-  const bytes = request(REPORT);
+  const bytes = request(IDLE_HEARTBEAT);
   for (const [from, to] of [
     [0, 40],
     [40, bytes.length - 5],
@@ -138,11 +121,11 @@
 test('what is no heartbeat is answered: other requests on the same connection, bodies too large, malformed ones', async (context) => {
   const { connect } = await door(context);
   const mixed = await connect();
-  mixed.socket.write(request(REPORT));
+  mixed.socket.write(request(IDLE_HEARTBEAT));
   assert.equal((await mixed.reply())?.status, 200);
   mixed.socket.write(`GET ${PATHS.up} HTTP/1.1\r\nHost: c\r\n\r\n`);
   assert.equal((await mixed.reply())?.status, 200);
-  mixed.socket.write(request(REPORT));
+  mixed.socket.write(request(IDLE_HEARTBEAT));
   assert.deepEqual((await mixed.reply())?.body, { kind: 'heartbeat' }, 'by the HTTP server from then on');
   mixed.socket.write(request(pack({}), 'POST /elsewhere'));
   assert.equal((await mixed.reply())?.status, 404);
@@ -154,12 +137,12 @@
   const large = await connect();
   large.socket.write(request(Buffer.alloc(LONGEST_BODY + 1)));
   assert.equal((await large.reply())?.status, 400);
-  large.socket.write(request(REPORT));
+  large.socket.write(request(IDLE_HEARTBEAT));
   assert.equal((await large.reply())?.status, 200, 'the connection goes on');
 
   const chunked = await connect();
-  const head = `POST ${PATHS.heartbeat} HTTP/1.1\r\nHost: c\r\nTransfer-Encoding: chunked\r\n\r\n${REPORT.length.toString(16)}\r\n`;
-  chunked.socket.write(Buffer.concat([Buffer.from(head), REPORT, Buffer.from('\r\n0\r\n\r\n')]));
+  const head = `POST ${PATHS.heartbeat} HTTP/1.1\r\nHost: c\r\nTransfer-Encoding: chunked\r\n\r\n${IDLE_HEARTBEAT.length.toString(16)}\r\n`;
+  chunked.socket.write(Buffer.concat([Buffer.from(head), IDLE_HEARTBEAT, Buffer.from('\r\n0\r\n\r\n')]));
   assert.equal((await chunked.reply())?.status, 200);
 
   const rubbish = await connect();
@@ -175,17 +158,17 @@
   const { api, requests, connect } = opened;
   opened.isHeld = true;
   const together = await connect();
-  together.socket.write(Buffer.concat([request(REPORT), request(REPORT)]));
+  together.socket.write(Buffer.concat([request(IDLE_HEARTBEAT), request(IDLE_HEARTBEAT)]));
   await together.closed();
   assert.equal(requests.length, 1, 'one at a time');
   const flood = await connect();
-  flood.socket.write(request(REPORT));
+  flood.socket.write(request(IDLE_HEARTBEAT));
   while (requests.length < 2) await new Promise((resolve) => setTimeout(resolve, 5));
   flood.socket.write(Buffer.alloc(4 * LONGEST_BODY));
   await flood.closed();
   for (const { id } of requests) api.respond(id, 200, {});
   const next = await connect();
-  next.socket.write(request(REPORT));
+  next.socket.write(request(IDLE_HEARTBEAT));
   while (requests.length < 3) await new Promise((resolve) => setTimeout(resolve, 5));
   api.respond(requests[2]?.id ?? 0, 200, {});
   assert.equal((await next.reply())?.status, 200, 'others are served');
@@ -195,16 +178,16 @@
   const connections = new ConnectionLimiter(4);
   const { connect } = await door(context, connections);
   const leaving = await connect();
-  leaving.socket.write(request(REPORT, undefined, 'Connection: close\r\n'));
+  leaving.socket.write(request(IDLE_HEARTBEAT, undefined, 'Connection: close\r\n'));
   assert.match((await leaving.reply())?.head ?? '', /connection: close/);
   await leaving.closed();
   const staying = await Promise.all([connect(), connect(), connect(), connect()]);
   while (connections.openCount < 4) await new Promise((resolve) => setTimeout(resolve, 5));
-  staying[0]?.socket.write(request(REPORT));
+  staying[0]?.socket.write(request(IDLE_HEARTBEAT));
   assert.match((await staying[0]?.reply())?.head ?? '', /connection: close/);
   await staying[0]?.closed();
   while (connections.openCount === 4) await new Promise((resolve) => setTimeout(resolve, 5));
-  staying[1]?.socket.write(request(REPORT));
+  staying[1]?.socket.write(request(IDLE_HEARTBEAT));
   assert.doesNotMatch((await staying[1]?.reply())?.head ?? '', /connection: close/);
 });
 
--- a/test/load-shedding.test.ts
+++ b/test/load-shedding.test.ts
@@ -3,23 +3,17 @@
 import assert from 'node:assert/strict';
 import net from 'node:net';
 import { test } from 'node:test';
-import { ConnectionLimiter, HttpApi, LoadShedder } from '@archpost/http-api';
+import { ConnectionLimiter, LoadShedder } from '@archpost/http-api';
 import { PATHS, pack } from '@archpost/protocol';
 import { Inbox, TIME_SLICE_MS } from '../packages/server/src/inbox.js';
+import { IDLE_HEARTBEAT, type ListeningHttpApi, listeningHttpApi } from './loopback/http-api-server.js';
 
 test('with few sockets left users lose theirs before workers do', async (context) => {
   const connections = new ConnectionLimiter(20);
-  const api: HttpApi = new HttpApi({
+  const { api, port }: ListeningHttpApi = await listeningHttpApi(context, {
     onRequest: ({ id }) => api.respond(id, 200, {}),
-    isReady: () => true,
-    loadShedder: new LoadShedder(() => 0),
-    onMalformedHeartbeat: () => {},
     connections,
   });
-  // Whatever fails: a server that is left open keeps the test from ending.
-  context.after(() => api.close());
-  const server = await api.listen('127.0.0.1', 0);
-  const { port } = server.address() as net.AddressInfo;
   const sockets = Array.from({ length: 17 }, () => net.connect(port, '127.0.0.1'));
   for (let index = 0; index < 500 && connections.openCount < 17; index++) await new Promise((resolve) => setTimeout(resolve, 10));
   const closes = async (path: string) => {
@@ -157,47 +151,30 @@
   assert.deepEqual(shedding.takeRejectedCounts(), { statusQueries: 0, mutations: 7 });
 });
 
-test('load shedding lets heartbeats pass, and refuses users at once when more is asked than can be done', async () => {
+test('load shedding lets heartbeats pass, and refuses users at once when more is asked than can be done', async (context) => {
   const shedding = new LoadShedder(() => 0);
   const seen: string[] = [];
-  const api: HttpApi = new HttpApi({
+  const { api, port }: ListeningHttpApi = await listeningHttpApi(context, {
     onRequest: (request) => {
       seen.push(request.kind);
       api.respond(request.id, 200, {});
     },
-    isReady: () => true,
     loadShedder: shedding,
   });
-  const server = await api.listen('127.0.0.1', 0);
-  const { port } = server.address() as { port: number };
   const call = (path: string, body?: Uint8Array) =>
     fetch(`http://127.0.0.1:${port}${path}`, body ? { method: 'POST', body } : {}).then(async (r) => {
       await r.arrayBuffer();
       return { status: r.status, retry: r.headers.get('retry-after') };
     });
-  const report = pack({
-    host: 'n-1',
-    address: '1.2.3.4:5',
-    build: 'g8',
-    yard: 'a',
-    loaners: false,
-    shift: 1,
-    tally: 1,
-    pieces: [],
-  });
-  try {
-    assert.equal((await call(PATHS.heartbeat, report)).status, 200);
-    assert.equal((await call(PATHS.heartbeat, pack({ host: 'n-1' }))).status, 400, 'a field is missing');
-    assert.equal((await call(PATHS.heartbeat, new Uint8Array(64 * 1024 + 1))).status, 400, 'over 64 KiB');
-    assert.equal((await call(PATHS.jobs, new Uint8Array(64 * 1024 + 1))).status, 400, 'over 64 KiB');
-    assert.equal((await call(`${PATHS.jobs}/run-000001`)).status, 200);
-    shedding.recordTimerDelay(2000);
-    assert.deepEqual(await call(`${PATHS.jobs}/run-000001`), { status: 503, retry: '1' });
-    assert.deepEqual(await call(PATHS.jobs, pack({})), { status: 503, retry: '1' });
-    assert.equal((await call(PATHS.heartbeat, report)).status, 200, 'reports are taken all the same');
-    assert.equal((await call(PATHS.up)).status, 200);
-    assert.deepEqual(seen, ['heartbeat', 'statusQuery', 'heartbeat']);
-  } finally {
-    api.close();
-  }
+  assert.equal((await call(PATHS.heartbeat, IDLE_HEARTBEAT)).status, 200);
+  assert.equal((await call(PATHS.heartbeat, pack({ host: 'n-1' }))).status, 400, 'a field is missing');
+  assert.equal((await call(PATHS.heartbeat, new Uint8Array(64 * 1024 + 1))).status, 400, 'over 64 KiB');
+  assert.equal((await call(PATHS.jobs, new Uint8Array(64 * 1024 + 1))).status, 400, 'over 64 KiB');
+  assert.equal((await call(`${PATHS.jobs}/run-000001`)).status, 200);
+  shedding.recordTimerDelay(2000);
+  assert.deepEqual(await call(`${PATHS.jobs}/run-000001`), { status: 503, retry: '1' });
+  assert.deepEqual(await call(PATHS.jobs, pack({})), { status: 503, retry: '1' });
+  assert.equal((await call(PATHS.heartbeat, IDLE_HEARTBEAT)).status, 200, 'reports are taken all the same');
+  assert.equal((await call(PATHS.up)).status, 200);
+  assert.deepEqual(seen, ['heartbeat', 'statusQuery', 'heartbeat']);
 });
--- /dev/null
+++ b/test/loopback/http-api-server.ts
@@ -0,0 +1,35 @@
+/** An HTTP interface that listens on loopback for one test, and the heartbeat that tests send to it. */
+import type net from 'node:net';
+import type { TestContext } from 'node:test';
+import { HttpApi, type HttpApiOptions, LoadShedder } from '@archpost/http-api';
+import { pack } from '@archpost/protocol';
+
+/** A heartbeat of a machine without tasks, as its worker encodes it. */
+export const IDLE_HEARTBEAT = pack({
+  host: 'n-1',
+  address: '1.2.3.4:5',
+  build: 'g8',
+  yard: 'a',
+  loaners: false,
+  shift: 1,
+  tally: 1,
+  pieces: [],
+});
+
+/** An HTTP interface, and the port on which it listens. */
+export interface ListeningHttpApi {
+  api: HttpApi;
+  port: number;
+}
+
+/** Opens an HTTP interface that is ready and sheds nothing, unless the options say otherwise; it is closed after the test. */
+export async function listeningHttpApi(
+  context: TestContext,
+  options: Pick<HttpApiOptions, 'onRequest'> & Partial<HttpApiOptions>,
+): Promise<ListeningHttpApi> {
+  const api = new HttpApi({ isReady: () => true, loadShedder: new LoadShedder(() => 0), ...options });
+  // Whatever fails: a server that is left open keeps the test from ending.
+  context.after(() => api.close());
+  const server = await api.listen('127.0.0.1', 0);
+  return { api, port: (server.address() as net.AddressInfo).port };
+}
--- a/test/malformed-support/http-exchange.ts
+++ b/test/malformed-support/http-exchange.ts
@@ -3,8 +3,9 @@
 import assert from 'node:assert/strict';
 import net from 'node:net';
 import type { TestContext } from 'node:test';
-import { type ApiRequest, HttpApi, LoadShedder } from '@archpost/http-api';
+import type { ApiRequest } from '@archpost/http-api';
 import { unpack } from '@archpost/protocol';
+import { listeningHttpApi } from '../loopback/http-api-server.js';
 import { type SimulatedCluster, smallCluster } from '../simulation/index.js';
 import type { Table } from './recorded-results.js';
 
@@ -33,10 +34,8 @@
   const { controller: core } = cluster.controller('n0');
   const takeEffects = core.takeEffects.bind(core);
   const answered = new Set<number>();
-  const api: HttpApi = new HttpApi({
+  const { api, port } = await listeningHttpApi(context, {
     onRequest: (request) => handOver(cluster, request, () => answered.has(request.id)),
-    isReady: () => true,
-    loadShedder: new LoadShedder(() => 0),
   });
   core.takeEffects = () => {
     const effects = takeEffects();
@@ -47,9 +46,7 @@
     }
     return effects;
   };
-  context.after(() => api.close());
-  const server = await api.listen('127.0.0.1', 0);
-  return (server.address() as net.AddressInfo).port;
+  return port;
 }
 
 const PATIENCE_MS = 20_000;
