--- a/test/loopback/worker-fleet.ts
+++ b/test/loopback/worker-fleet.ts
@@ -36,6 +36,12 @@
   private readonly agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
   /** heartbeats that were answered 200 */
   answered = 0;
+  /** it answers nothing and sends nothing, as a machine without power */
+  private isDead = false;
+  /** when the last heartbeat that was answered 200 was sent */
+  renewedAt = 0;
+  /** the longest time between the sending of two heartbeats that were answered 200, one after the other */
+  longestUnrenewedMs = 0;
 
   constructor(
     readonly machine: ListedMachine,
@@ -52,6 +58,12 @@
     this.agent.destroy();
   }
 
+  /** Ends without a word: connections to it stay open, and nothing is answered. */
+  die(): void {
+    this.isDead = true;
+    this.stop();
+  }
+
   private schedule(ms: number): void {
     if (this.timer) clearTimeout(this.timer);
     // A heartbeat that was under way at the end must not be followed by another.
@@ -68,6 +80,7 @@
 
   private async sendHeartbeat(): Promise<void> {
     const { controllers } = this.fleet;
+    const sentAt = Date.now();
     const answer = await this.fleet.post(
       controllers[this.target % controllers.length] as string,
       '/checkin',
@@ -77,6 +90,7 @@
     const redirectIndex = typeof answer?.body.home === 'string' ? this.fleet.names.indexOf(answer.body.home) : -1;
     if (answer?.status === 200) {
       this.answered++;
+      this.recordRenewal(sentAt);
       this.obey(answer.body);
       this.schedule(this.fleet.reportMs * (0.75 + 0.5 * Math.random()));
     } else if (answer?.status === 421 && redirectIndex >= 0 && redirectIndex !== this.target % controllers.length) {
@@ -88,6 +102,11 @@
     }
   }
 
+  private recordRenewal(sentAt: number): void {
+    if (this.renewedAt > 0) this.longestUnrenewedMs = Math.max(this.longestUnrenewedMs, sentAt - this.renewedAt);
+    this.renewedAt = sentAt;
+  }
+
   private obey(body: Record<string, unknown>): boolean {
     const fencingToken = Number(body.baton ?? 0);
     if (fencingToken < this.fencingToken) return false;
@@ -116,7 +135,8 @@
   }
 
   /** Responds to direct commands, or to a probe. */
-  handle({ path, body }: LoopbackRequest): LoopbackAnswer {
+  handle({ path, body }: LoopbackRequest): LoopbackAnswer | Promise<LoopbackAnswer> {
+    if (this.isDead) return new Promise(() => {});
     if (path === '/show') return { status: 200, body: this.heartbeat() };
     const isCurrent = Number(body.shift) === 1 && this.obey(body);
     if (isCurrent && (body.orders as Order[]).length > 0) this.schedule(CHANGE_HEARTBEAT_DELAY_MS);
@@ -124,11 +144,24 @@
   }
 }
 
+/** What became of requests to controllers. */
+export interface RequestCounts {
+  sent: number;
+  /** answers by their status */
+  readonly byStatus: Map<number, number>;
+  /** no answer within the time that a worker waits */
+  timedOut: number;
+  /** no connection, or it was closed before the answer */
+  connectionFailed: number;
+}
+
 /** Many workers that share one HTTP server, and an HTTP client of a user. */
 export class WorkerFleet {
   /** how long a task runs, by its name */
   runMs: (task: string) => number = () => Number.POSITIVE_INFINITY;
   readonly workers: LoopbackWorker[] = [];
+  /** of the POST requests so far */
+  readonly counts: RequestCounts = { sent: 0, byStatus: new Map(), timedOut: 0, connectionFailed: 0 };
   private readonly byAddress = new Map<string, LoopbackWorker>();
   private readonly listeners: net.Server[] = [];
   private readonly agent = new http.Agent({ keepAlive: true });
@@ -144,11 +177,12 @@
     readonly reportMs = 2000,
   ) {}
 
-  /** Adds workers until there are `count`, in the zones by turns. */
-  async add(count: number, zones: string[]): Promise<void> {
-    for (let index = this.workers.length; this.workers.length < count; index++) {
+  /** Adds workers until there are `count`, in the zones by turns; or only the given one of so many parts of them. */
+  async add(count: number, zones: string[], part = 0, parts = 1): Promise<void> {
+    for (let index = this.workers.length, known = 0; known < count; index++) {
       const host = `127.${1 + (index >> 16)}.${(index >> 8) & 255}.${index & 255}`;
       if (host.endsWith('.0') || host.endsWith('.255')) continue;
+      if (known++ % parts !== part) continue;
       const listener = net.createServer((socket) => this.server.emit('connection', socket));
       const port = await new Promise<number>((resolve, reject) => {
         listener.once('error', reject);
@@ -196,7 +230,15 @@
   ): Promise<{ status: number; body: Record<string, unknown> } | null> {
     const [host, port] = address.split(':') as [string, string];
     const bytes = pack(body);
+    const { counts } = this;
+    counts.sent++;
     return new Promise((resolve) => {
+      let isTimedOut = false;
+      const fail = () => {
+        if (isTimedOut) counts.timedOut++;
+        else counts.connectionFailed++;
+        resolve(null);
+      };
       const request = http.request({
         agent,
         host,
@@ -206,13 +248,20 @@
         timeout: 4000,
         headers: { 'content-type': 'application/msgpack', 'content-length': bytes.length },
       });
-      request.on('timeout', () => request.destroy());
-      request.on('error', () => resolve(null));
+      request.on('timeout', () => {
+        isTimedOut = true;
+        request.destroy();
+      });
+      request.on('error', fail);
       request.on('response', (response) => {
         const parts: Buffer[] = [];
         response.on('data', (part: Buffer) => parts.push(part));
-        response.on('error', () => resolve(null));
-        response.on('end', () => resolve({ status: response.statusCode ?? 0, body: unpackMap(Buffer.concat(parts)) ?? {} }));
+        response.on('error', fail);
+        response.on('end', () => {
+          const status = response.statusCode ?? 0;
+          counts.byStatus.set(status, (counts.byStatus.get(status) ?? 0) + 1);
+          resolve({ status, body: unpackMap(Buffer.concat(parts)) ?? {} });
+        });
       });
       request.end(bytes);
     });
--- /dev/null
+++ b/tools/result-reporter.mjs
@@ -0,0 +1,31 @@
+/** A reporter of node:test: one line of JSON for each top-level test, with the source file that it comes from. */
+import { basename } from 'node:path';
+
+/**
+ * The source file of a bundled test.
+ *
+ * @param {string | undefined} bundle
+ */
+function sourceOf(bundle) {
+  return `test/${basename(bundle ?? 'unknown').replace(/\.mjs$/, '.ts')}`;
+}
+
+/**
+ * What became of a test. One that is skipped, or not written yet, has not run.
+ *
+ * @param {'test:pass' | 'test:fail'} type
+ * @param {{ skip?: string | boolean, todo?: string | boolean }} data
+ */
+function outcomeOf(type, { skip, todo }) {
+  if (skip !== undefined || todo !== undefined) return 'notRun';
+  return type === 'test:pass' ? 'passed' : 'failed';
+}
+
+/** @param {AsyncIterable<import('node:test/reporters').TestEvent>} events */
+export default async function* reportResults(events) {
+  for await (const event of events) {
+    if ((event.type !== 'test:pass' && event.type !== 'test:fail') || event.data.nesting > 0) continue;
+    const { file, name } = event.data;
+    yield `${JSON.stringify({ file: sourceOf(file), title: name, outcome: outcomeOf(event.type, event.data) })}\n`;
+  }
+}
