--- a/test/simulation/controller.ts
+++ b/test/simulation/controller.ts
@@ -19,6 +19,25 @@
   decodePeerMessage: typeof decodePeerMessage;
 }
 
+/** The processor time of a controller that is short of it. */
+export interface ProcessorBudget {
+  /** it runs for so long at the end of each period, in whole steps of the simulation */
+  runMs: number;
+  periodMs: number;
+  /** heartbeats, and as many other inputs, that it takes in each step in which it runs */
+  inputsPerStep: number;
+}
+
+interface WaitingInput {
+  arrivedAt: number;
+  run: () => void;
+}
+
+/** With this long between two steps in which it runs, a controller finds that its process was paused, as its inbox does. */
+const PROCESS_PAUSE_MS = 800;
+
+const STEP_MS = 100;
+
 const PRESENT: ControllerVersion = { Controller, encodePeerMessage, decodePeerMessage };
 
 /** Drives a controller in simulated time and carries out its effects on the cluster. */
@@ -38,6 +57,10 @@
   /** inputs that it has processor time for in a tenth of a second: the rest waits, heartbeats first */
   inputsPerTick = Number.POSITIVE_INFINITY;
   private readonly waiting: { heartbeats: (() => void)[]; others: (() => void)[] } = { heartbeats: [], others: [] };
+  /** null: it has all the processor time that it needs */
+  processor: ProcessorBudget | null = null;
+  private readonly starved: { heartbeats: WaitingInput[]; others: WaitingInput[] } = { heartbeats: [], others: [] };
+  private ranAt = 0;
   /** its watch brings nothing for now, while all else at the state service goes on */
   isWatchLagging = false;
   private leaseId: number | null = null;
@@ -71,6 +94,8 @@
     this.backlog = [];
     this.waiting.heartbeats.length = 0;
     this.waiting.others.length = 0;
+    this.starved.heartbeats.length = 0;
+    this.starved.others.length = 0;
     this.up = false;
     this.cluster.note(`${this.name} crashes`);
   }
@@ -108,6 +133,10 @@
       this.backlog.push({ run, lost });
       return;
     }
+    if (this.processor !== null) {
+      this.starved[kind].push({ arrivedAt: this.cluster.now, run });
+      return;
+    }
     if (this.inputsPerTick !== Number.POSITIVE_INFINITY) {
       this.waiting[kind].push(run);
       return;
@@ -125,6 +154,22 @@
     }
   }
 
+  /** Takes what its processor time allows. False: it doesn't run in this step. */
+  private runStarved({ runMs, periodMs, inputsPerStep }: ProcessorBudget): boolean {
+    const { now } = this.cluster;
+    if (now % periodMs < periodMs - runMs) return false;
+    const gapMs = now - this.ranAt;
+    this.ranAt = now;
+    if (gapMs > PROCESS_PAUSE_MS) this.controller.processPaused(gapMs, now);
+    for (const queue of [this.starved.heartbeats, this.starved.others]) {
+      for (const { run } of queue.splice(0, inputsPerStep)) {
+        run();
+        this.run();
+      }
+    }
+    return true;
+  }
+
   private wait(then: (status: number, body: Record<string, unknown>) => void): number {
     const id = this.nextAnswer++;
     this.answers.set(id, then);
@@ -158,6 +203,7 @@
 
   tick(): void {
     if (!this.up || this.isPaused) return;
+    if (this.processor !== null && !this.runStarved(this.processor)) return;
     this.takeWaiting();
     const { now, stateService: state } = this.cluster;
     if (!this.cluster.isStateServiceDown && !this.isRefusedByStateService) {
--- a/test/simulation/worker.ts
+++ b/test/simulation/worker.ts
@@ -5,6 +5,12 @@
 import type { SimulatedController } from './controller.js';
 import { TYPES } from './fixtures.js';
 
+const HEARTBEAT_INTERVAL_MS = 2000;
+
+/** A worker waits for an answer so long, and then so long until it tries the next controller. */
+const ANSWER_TIMEOUT_MS = 4000;
+const NEXT_CONTROLLER_DELAY_MS = 1000;
+
 interface WorkerTask extends TaskStatus {
   startedAt: number;
 }
@@ -161,15 +167,26 @@
     if (now >= this.nextHeartbeatAt) this.send();
   }
 
+  /** One heartbeat at a time is under way: without an answer in time the next goes to the next controller, a second later. */
+  private awaitAnswer(): void {
+    this.nextHeartbeatAt = this.cluster.now + ANSWER_TIMEOUT_MS + NEXT_CONTROLLER_DELAY_MS;
+    this.target++;
+  }
+
+  private answerCame(node: SimulatedController): void {
+    this.nextHeartbeatAt = this.cluster.now + HEARTBEAT_INTERVAL_MS;
+    this.target = this.cluster.controllers.indexOf(node);
+  }
+
   private send(): void {
     const { cluster } = this;
-    this.nextHeartbeatAt = cluster.now + 2000;
+    this.nextHeartbeatAt = cluster.now + HEARTBEAT_INTERVAL_MS;
     const node = cluster.controllers[this.target % cluster.controllers.length] as SimulatedController;
     const sentAt = cluster.now;
     const { agentEpoch } = this;
     const tryNextController = () => {
       this.target++;
-      this.nextHeartbeatAt = cluster.now + 1000;
+      this.nextHeartbeatAt = cluster.now + NEXT_CONTROLLER_DELAY_MS;
     };
     if (!node.up || cluster.isMute(this.name) || cluster.isPartitioned(node.name, this.name)) return tryNextController();
     if (node.isPaused) {
@@ -177,10 +194,12 @@
       this.target++;
       this.nextHeartbeatAt = cluster.now + 5000;
     }
+    if (node.processor !== null) this.awaitAnswer();
     const heartbeat = this.heartbeat();
     cluster.onHeartbeat?.(heartbeat);
     node.receiveHeartbeat(heartbeat, (status, body) => {
-      if (this.dead || this.hung || agentEpoch !== this.agentEpoch || cluster.now - sentAt > 4000) return;
+      if (node.processor !== null && cluster.now - sentAt <= ANSWER_TIMEOUT_MS) this.answerCame(node);
+      if (this.dead || this.hung || agentEpoch !== this.agentEpoch || cluster.now - sentAt > ANSWER_TIMEOUT_MS) return;
       if (cluster.isDeaf(node.name, this.name)) return tryNextController();
       if (status === 421 && typeof body.home === 'string') {
         this.target = cluster.controllers.findIndex((node) => node.name === body.home);
--- /dev/null
+++ b/test/starved-controller.test.ts
@@ -0,0 +1,131 @@
+// A controller that is short of processor must not hold its own delay against machines.
+//
+// What happened: one controller of 200 machines that could take 30 heartbeats a second, where 100 a second came, released 99
+// healthy machines as silent within 110 s; with 10 a second it released 196. Ran it for a tenth of a second in every second,
+// a machine that was really dead was never released.
+// Why: the age of a machine's last heartbeat counted in full, though the heartbeats that would have shown it to be alive were
+// waiting for this controller to read them. Only one gap of 0.8 s or more was forgiven, and those without any limit.
+// What showed it: in these runs the machines' heartbeats were in the controller's own queue when it logged `releasing machine`
+// with the reason `silent`; each gap of 0.8 s or more moved the age of every silence, so that it grew by 0.1 s a second.
+
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import {
+  job,
+  type ProcessorBudget,
+  SimulatedCluster,
+  type SimulatedController,
+  type SimulatedWorker,
+} from './simulation/index.js';
+
+const MACHINES = 200;
+const SILENT_S = 7;
+
+/** A machine that is gone is released after so many times `silent_s`, as soon as three commands in a row got no answer. */
+const SILENCE_LIMIT_FACTOR = 3;
+const UNANSWERED_COMMANDS = 3;
+const COMMAND_TIMEOUT_S = 2.5;
+const RETRY_S = 0.7;
+
+/** 100 heartbeats a second come to a controller that is alone. */
+const SHORTAGES: readonly (readonly [what: string, budget: ProcessorBudget])[] = [
+  ['half of the heartbeats', { runMs: 100, periodMs: 100, inputsPerStep: 5 }],
+  ['a third of the heartbeats', { runMs: 100, periodMs: 100, inputsPerStep: 3 }],
+  ['a seventh of the time', { runMs: 100, periodMs: 700, inputsPerStep: 30 }],
+  ['a seventh of the time and a seventh of the heartbeats', { runMs: 100, periodMs: 700, inputsPerStep: 10 }],
+  ['0.3 s of each second and a third of the heartbeats', { runMs: 300, periodMs: 1000, inputsPerStep: 10 }],
+  ['0.1 s of each second', { runMs: 100, periodMs: 1000, inputsPerStep: 30 }],
+  ['0.1 s of every 3 s', { runMs: 100, periodMs: 3000, inputsPerStep: 100 }],
+  ['0.1 s of every 6 s', { runMs: 100, periodMs: 6000, inputsPerStep: 100 }],
+];
+
+function runningCluster(controllers: string[]): SimulatedCluster {
+  const cluster = new SimulatedCluster(controllers);
+  for (let index = 0; index < MACHINES; index++) cluster.machine(`m${index}`, 'small', index % 2 === 0 ? 'east' : 'west');
+  cluster.runUntilSettled();
+  cluster.submit(job('run-v', { shape: 'service', tasks: 100, priority: 3, jobClass: 'serve' }));
+  cluster.runUntil('running', () => cluster.runningTasks('run-v') === 100);
+  // Not all heartbeats at once.
+  cluster.workers.forEach((worker, index) => {
+    worker.nextHeartbeatAt += 100 * ((7 * index) % 20);
+  });
+  cluster.run(5);
+  cluster.trace = [];
+  return cluster;
+}
+
+function kill(workers: readonly SimulatedWorker[]): void {
+  for (const worker of workers) {
+    worker.dead = true;
+    worker.tasks.clear();
+  }
+}
+
+const released = (cluster: SimulatedCluster) =>
+  cluster.trace.flatMap((line) => /(m\d+) is given back/.exec(line)?.[1] ?? []).sort();
+
+const namesOf = (workers: readonly SimulatedWorker[]) => workers.map(({ name }) => name).sort();
+
+/** How long a machine that is gone may stay: the limit of its silence, and the commands that confirm it. */
+function releaseLimitS({ periodMs, inputsPerStep }: ProcessorBudget): number {
+  const waitS = (2 * periodMs) / 1000 + MACHINES / inputsPerStep / 10;
+  return SILENCE_LIMIT_FACTOR * SILENT_S + UNANSWERED_COMMANDS * (COMMAND_TIMEOUT_S + RETRY_S + waitS);
+}
+
+for (const [what, budget] of SHORTAGES) {
+  test(`a controller that has processor time for ${what} releases no healthy machine`, () => {
+    const cluster = runningCluster(['n0']);
+    (cluster.controllers[0] as SimulatedController).processor = budget;
+    cluster.run(110);
+    assert.deepEqual(released(cluster), []);
+  });
+
+  test(`a controller that has processor time for ${what} releases machines that died, and these alone`, () => {
+    const cluster = runningCluster(['n0']);
+    (cluster.controllers[0] as SimulatedController).processor = budget;
+    cluster.run(20);
+    const dying = cluster.workers.slice(0, 4);
+    kill(dying);
+    cluster.run(releaseLimitS(budget));
+    assert.deepEqual(released(cluster), namesOf(dying));
+    cluster.run(30);
+    assert.deepEqual(released(cluster), namesOf(dying));
+  });
+}
+
+test('a controller that was short of processor for an hour has released the machines that died, and these alone', () => {
+  const cluster = runningCluster(['n0']);
+  const budget: ProcessorBudget = { runMs: 100, periodMs: 1000, inputsPerStep: 60 };
+  (cluster.controllers[0] as SimulatedController).processor = budget;
+  const dying: SimulatedWorker[] = [];
+  for (let minute = 0; minute < 60; minute++) {
+    cluster.run(60);
+    assert.deepEqual(released(cluster), namesOf(dying));
+    const next = cluster.workers[minute] as SimulatedWorker;
+    kill([next]);
+    dying.push(next);
+  }
+});
+
+for (const [what, budget] of SHORTAGES) {
+  test(`one of three controllers has processor time for ${what}: no healthy machine is released, and a twentieth that dies is`, () => {
+    const cluster = runningCluster(['n0', 'n1', 'n2']);
+    (cluster.controllers[1] as SimulatedController).processor = budget;
+    cluster.run(20);
+    const dying = cluster.workers.slice(0, MACHINES / 20);
+    kill(dying);
+    cluster.run(releaseLimitS(budget) + 30);
+    assert.deepEqual(released(cluster), namesOf(dying));
+  });
+}
+
+test('while a third of the machines really die the others are kept, all controllers being short of processor', () => {
+  const cluster = runningCluster(['n0', 'n1', 'n2']);
+  const budget: ProcessorBudget = { runMs: 100, periodMs: 700, inputsPerStep: 30 };
+  for (const node of cluster.controllers) node.processor = budget;
+  cluster.run(10);
+  const dying = cluster.workers.filter((_worker, index) => index % 3 === 1);
+  kill(dying);
+  cluster.run(releaseLimitS(budget) + 60);
+  assert.deepEqual(released(cluster), namesOf(dying));
+});
