A controller that is behind its inputs doesn't hold its own delay against machines

Stopped again and again for 0.8 s or more it never released a machine that had died.

Cause: the age of the last heartbeat counted in full while what would have shown the machine to be alive waited to be read; only single gaps of 0.8 s were forgiven, without limit, and so was the time at which a peer heard the machine. Probes of a machine that is gone came after those of all that only seemed silent. A command that was withheld after a pause counted as unanswered.

Change: LocalHealth accounts for the time in which the tick was late or inputs waited, by a measurement that comes with each tick; silences don't count for it (MachineSilence). Beyond three times silent_s nothing is forgiven any more: the machine is silent once three commands in a row got no answer, and a few probes are kept for it. The rate of probes is by time and not by tick. Never delayed: cancelled work, the end of a preemption notice. 'releasing machine' says what it rests on.

--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -94,6 +94,15 @@
     this.parts.processPause.processPaused(pausedMs, now);
   }
 
+  /**
+   * By how much this controller is behind at `now`: how late the timer of its tick was, or how long the oldest input has waited,
+   * whichever is longer. Silences don't count for that time.
+   */
+  recordLag(lagMs: Milliseconds, now: Milliseconds): void {
+    this.beginInput(now);
+    this.parts.shardController.recordLag(lagMs, now);
+  }
+
   /** Time has passed. Comes several times a second. `wallClockMs`: the time of day, to which stored times refer, since 1970. */
   tick(now: Milliseconds, wallClockMs: Milliseconds = now): void {
     this.beginInput(now);
--- a/packages/controller/src/heartbeats/heartbeat-reconciler.ts
+++ b/packages/controller/src/heartbeats/heartbeat-reconciler.ts
@@ -132,12 +132,13 @@
 
   /** It is alive: it isn't released for its silence any more, unless the request has left. */
   private recordHeard({ tenure }: Machine, now: Milliseconds): void {
-    tenure.lastHeartbeatAt = now;
+    tenure.beginSilence(now);
     if (tenure.releaseReason === 'silent' && !tenure.isReleasing) tenure.releaseReason = null;
   }
 
   private recordHeardByPeer(machine: Machine, peer: string, now: Milliseconds): void {
     machine.heardByPeerAt = now;
+    machine.tenure.lastContactAt = now;
     // It goes from one controller to the next: perhaps no controller's responses reach it. One that stays is answered.
     if (machine.heardByPeer !== peer && machine.heardByPeer !== null) this.requestProbe(machine, now);
     machine.heardByPeer = peer;
--- a/packages/controller/src/model/machine.ts
+++ b/packages/controller/src/model/machine.ts
@@ -59,6 +59,8 @@
   agentEpoch = UNKNOWN_EPOCH;
   /** of the newest heartbeat in this epoch */
   sequence = NOTHING_HEARD;
+  /** when it was heard last, here or by a peer, or its tenure began: unlike `lastHeartbeatAt`, no pause of ours moves it */
+  lastContactAt: Milliseconds;
   /** it has answered a probe under our fencing token, so its heartbeats show everything that is on it */
   isVerified = false;
   /** it was probed in this tenure, or since its token was last raised: its silence counts */
@@ -91,13 +93,21 @@
   isReleasing = false;
 
   /**
-   * `lastHeartbeatAt`: silence counts from here. `isUnverifiedTakeover`: the machine may run tasks that an earlier holder of
+   * `lastHeartbeatAt`: silence counts from here; pauses of this process move it. `isUnverifiedTakeover`: the machine may run tasks that an earlier holder of
    * the shard started and that aren't known here, until it is verified.
    */
   constructor(
     public lastHeartbeatAt: Milliseconds,
     public isUnverifiedTakeover: boolean,
-  ) {}
+  ) {
+    this.lastContactAt = lastHeartbeatAt;
+  }
+
+  /** It was heard, or its silence counts from now on. */
+  beginSilence(now: Milliseconds): void {
+    this.lastHeartbeatAt = now;
+    this.lastContactAt = now;
+  }
 
   /** What runs on the machine is known: it has answered under our fencing token, or the cloud says that nothing runs any more. */
   recordVerified(): void {
--- a/packages/controller/src/shards/command-outcomes.ts
+++ b/packages/controller/src/shards/command-outcomes.ts
@@ -28,10 +28,10 @@
 
 /**
  * What became of a command. `ok`: it was carried out; `stale`: the worker rejected it, for its fencing token or for the agent's
- * epoch; `lost`: there was no answer, and it may be carried out yet; `refused`: it never left. `heartbeat`: the worker's status;
- * null: it could not be read.
+ * epoch; `lost`: there was no answer, and it may be carried out yet; `refused`: the worker could not be connected to, so it
+ * never left; `withheld`: this controller did not try to send it. `heartbeat`: the worker's status; null: it could not be read.
  */
-export type CommandOutcome = { kind: 'ok' | 'stale'; heartbeat: Heartbeat | null } | { kind: 'lost' | 'refused' };
+export type CommandOutcome = { kind: 'ok' | 'stale'; heartbeat: Heartbeat | null } | { kind: 'lost' | 'refused' | 'withheld' };
 
 /** What the outcomes of commands need of their controller. */
 type CommandOutcomesContext = ClusterStateView & Logger;
@@ -51,6 +51,8 @@
       case 'lost':
       case 'refused':
         return this.handleUnanswered(pending, outcome.kind, now);
+      case 'withheld':
+        return this.handleWithheld(pending);
       case 'ok':
         return this.handleExecuted(pending, outcome.heartbeat, now);
       case 'stale':
@@ -98,6 +100,12 @@
     tenure.unansweredSince = null;
   }
 
+  /** What was not sent says nothing of the machine. */
+  private handleWithheld({ machine: { tenure }, starts }: PendingCommand): void {
+    for (const allocation of tenure.allocations.values()) allocation.stopSentAt = NEVER;
+    for (const allocation of starts) this.allocations.startNotSent(allocation);
+  }
+
   private handleUnanswered({ machine, starts, isProbe }: PendingCommand, kind: 'lost' | 'refused', now: Milliseconds): void {
     const { tenure } = machine;
     if (isHeardRecently(machine, now)) this.workerAnswers.recordUnanswered(machine);
--- a/packages/controller/src/shards/failure-detector.ts
+++ b/packages/controller/src/shards/failure-detector.ts
@@ -174,8 +174,11 @@
   }
 
   private restartSilenceOfZone(zoneIndex: number, now: Milliseconds): void {
-    for (const machine of this.context.clusterState.machines.values())
-      if (machine.zoneIndex === zoneIndex && this.allocations.heldShards.has(machine.shard)) this.restartSilence(machine, now);
+    for (const machine of this.context.clusterState.machines.values()) {
+      if (machine.zoneIndex !== zoneIndex || !this.allocations.heldShards.has(machine.shard)) continue;
+      this.restartSilence(machine, now);
+      machine.tenure.lastContactAt = machine.tenure.lastHeartbeatAt;
+    }
   }
 
   /**
--- a/packages/controller/src/shards/machine-lifecycle.ts
+++ b/packages/controller/src/shards/machine-lifecycle.ts
@@ -17,6 +17,7 @@
 import { AssignmentUpdates } from './assignment-updates.js';
 import { FailureDetector } from './failure-detector.js';
 import { MachineReleases } from './machine-releases.js';
+import { isUnanswering, type MachineSilence } from './machine-silence.js';
 import type { WorkerAnswers } from './worker-answers.js';
 
 /** Cancelled work may stay for this part of the time within which a cancellation has to be carried out. */
@@ -31,9 +32,6 @@
 /** A worker's lease has surely expired once it was not heard for the lease and this many heartbeat intervals. */
 const LEASE_OVERRUN_INTERVALS = 2;
 
-/** A machine is unreachable once it did not answer this many commands in a row. */
-const UNANSWERED_COMMANDS = 3;
-
 /** What the machine lifecycle needs of its controller. */
 type MachineLifecycleContext = SettingsView & ClusterStateView & ReplicaView & StateWriting & PeerDirectory & EffectSink & Logger;
 
@@ -47,10 +45,11 @@
     private readonly context: MachineLifecycleContext,
     private readonly allocations: TaskAllocations,
     workerAnswers: WorkerAnswers,
+    private readonly silence: MachineSilence,
   ) {
     this.failureDetector = new FailureDetector(context, allocations, workerAnswers);
     this.assignmentUpdates = new AssignmentUpdates(context, allocations);
-    this.releases = new MachineReleases(context, allocations, this.assignmentUpdates);
+    this.releases = new MachineReleases(context, allocations, this.assignmentUpdates, silence);
   }
 
   /** To be called at each tick, unless this controller is catching up after a pause. */
@@ -63,7 +62,7 @@
       if (!actingShards.has(machine.shard)) continue;
       // Cancelled work must be gone in time, whatever the reason for a silence, and however long that is thought to last.
       if (machine.tenure.releaseReason === null && overdue.has(machine))
-        this.releases.mark(machine, 'cancelled work does not end');
+        this.releases.mark(machine, 'cancelled work does not end', now);
       this.checkSilence(machine, now);
       this.checkEmpty(machine, now);
       if (this.releases.isDue(machine, now)) dueForRelease.push(machine);
@@ -84,21 +83,31 @@
 
   /** A machine that nobody hears any more is given up, sooner if it has cancelled work. */
   private checkSilence(machine: Machine, now: Milliseconds): void {
-    const silentMs = isWaitedFor(machine) ? now - machine.tenure.lastHeartbeatAt : 0;
-    if (!this.isSilent(machine, silentMs, now)) return;
-    if (machine.tenure.releaseReason !== null || isHeardByPeer(machine, now)) return;
-    const hasOverdueCancellation =
-      silentMs > this.overdueCancellationMs && this.machinesWithOverdueCancellation(now, 0).has(machine);
-    if (hasOverdueCancellation) this.releases.mark(machine, 'silent with cancelled work');
-    else if (this.isOwnSilence(machine, silentMs, now)) this.releases.mark(machine, 'silent');
+    const silentMs = now - machine.tenure.lastHeartbeatAt;
+    if (!isWaitedFor(machine) || machine.tenure.releaseReason !== null) return;
+    // Pauses of this process move the time at which a peer heard it, too: for a machine that is really gone without end.
+    if (isHeardByPeer(machine, now) && !this.silence.isBeyondForgiveness(machine, now)) return;
+    if (this.isSilentWithCancelledWork(machine, silentMs, now)) this.releases.mark(machine, 'silent with cancelled work', now);
+    else if (this.isSilent(machine, silentMs, now) && this.isOwnSilence(machine, silentMs, now))
+      this.releases.mark(machine, 'silent', now);
+  }
+
+  /** Cancelled work must be gone in time, so that no delay of this controller is taken off here. */
+  private isSilentWithCancelledWork(machine: Machine, silentMs: Milliseconds, now: Milliseconds): boolean {
+    if (silentMs <= this.overdueCancellationMs || silentMs <= this.context.settings.policy.silentS * 1000) return false;
+    return this.machinesWithOverdueCancellation(now, 0).has(machine);
   }
 
-  /** Longer than silence is tolerated, or so that the cloud has most likely taken it at the end of its preemption notice. */
-  private isSilent({ tenure }: Machine, silentMs: Milliseconds, now: Milliseconds): boolean {
-    const { policy, workers } = this.context.settings;
-    if (silentMs > policy.silentS * 1000) return true;
-    const isNoticeOver = tenure.preemptionNoticeUntil !== null && now > tenure.preemptionNoticeUntil;
-    return isNoticeOver && silentMs > workers.heartbeatIntervalS * (SILENT_INTERVALS_AFTER_NOTICE * 1000);
+  /**
+   * Longer than silence is tolerated, or so that the cloud has most likely taken it at the end of its preemption notice, which
+   * doesn't wait for a slow controller.
+   */
+  private isSilent(machine: Machine, silentMs: Milliseconds, now: Milliseconds): boolean {
+    if (this.silence.isBeyondTolerance(machine, now)) return true;
+    const { preemptionNoticeUntil } = machine.tenure;
+    const isNoticeOver = preemptionNoticeUntil !== null && now > preemptionNoticeUntil;
+    const { heartbeatIntervalS } = this.context.settings.workers;
+    return isNoticeOver && silentMs > heartbeatIntervalS * (SILENT_INTERVALS_AFTER_NOTICE * 1000);
   }
 
   /** Is the silence the machine's, rather than that of its zone or of this controller? */
@@ -119,11 +128,11 @@
 
   private releaseEmpty(machine: Machine, now: Milliseconds): void {
     const { failureAttribution } = this.allocations;
-    if (machine.isRetired) this.releases.mark(machine, 'idle');
+    if (machine.isRetired) this.releases.mark(machine, 'idle', now);
     else if (failureAttribution.isFaulty(machine, now)) {
       failureAttribution.clearJobsOf(machine);
-      this.releases.mark(machine, 'quarantined');
-    } else if (machine.tenure.preemptionNoticeUntil !== null) this.releases.mark(machine, 'spot preemption notice');
+      this.releases.mark(machine, 'quarantined', now);
+    } else if (machine.tenure.preemptionNoticeUntil !== null) this.releases.mark(machine, 'spot preemption notice', now);
     else if (machine.moveToShard !== null) this.assignmentUpdates.moveToShard(machine);
   }
 
@@ -135,10 +144,11 @@
     const { failureDetector } = this;
     const { tenure } = machine;
     if (tenure.releaseReason === null && failureDetector.isInCutZone(machine) && this.isCutOffBeyondLease(machine, now))
-      this.releases.mark(machine, 'cut off beyond its lease');
+      this.releases.mark(machine, 'cut off beyond its lease', now);
     if (tenure.releaseReason !== null || !this.isUnreachable(machine, now)) return;
     if (failureDetector.isWidespreadLoss(machine.zoneIndex)) return;
-    if (failureDetector.confirmSilence(now, now - (tenure.unansweredSince ?? now))) this.releases.mark(machine, 'unreachable');
+    if (failureDetector.confirmSilence(now, now - (tenure.unansweredSince ?? now)))
+      this.releases.mark(machine, 'unreachable', now);
   }
 
   /**
@@ -165,7 +175,7 @@
   private isCutOffBeyondLease(machine: Machine, now: Milliseconds): boolean {
     const { leaseS, heartbeatIntervalS } = this.context.settings.workers;
     const leaseOverMs = (leaseS + LEASE_OVERRUN_INTERVALS * heartbeatIntervalS) * 1000;
-    if (now - machine.tenure.lastHeartbeatAt < leaseOverMs) return false;
+    if (this.silence.heardMsSince(machine.tenure.lastHeartbeatAt, now) < leaseOverMs) return false;
     return mayHoldUpWork(machine) && this.areZoneControllersAbsent(machine.zoneIndex, now);
   }
 
@@ -181,9 +191,10 @@
   }
 
   /** Several commands in a row without an answer, over longer than a machine's silence is tolerated. */
-  private isUnreachable({ tenure: { unansweredCommands, unansweredSince } }: Machine, now: Milliseconds): boolean {
-    if (unansweredCommands < UNANSWERED_COMMANDS || unansweredSince === null) return false;
-    return now - unansweredSince > this.context.settings.policy.silentS * 1000;
+  private isUnreachable(machine: Machine, now: Milliseconds): boolean {
+    const { unansweredSince } = machine.tenure;
+    if (!isUnanswering(machine) || unansweredSince === null) return false;
+    return this.silence.heardMsSince(unansweredSince, now) > this.context.settings.policy.silentS * 1000;
   }
 }
 
@@ -191,10 +202,10 @@
  * Whose silence counts: one that was probed since it was last heard, where only answers count. At a first start that outlasts
  * leases a machine's first answer shows its agent epoch alone, and those that were never probed come before it: within 90 s
  * 1,312 of 4,000 machines, all of which sent heartbeats, had been released as silent (docs/incidents/
- * first-start-of-a-large-fleet.md).
+ * first-start-of-a-large-fleet.md). Pauses of this process, which move the age of a silence, don't undo the probe.
  */
 function isWaitedFor({ tenure, lastProbeAt }: Machine): boolean {
-  return tenure.isVerified || (tenure.isProbed && lastProbeAt >= tenure.lastHeartbeatAt);
+  return tenure.isVerified || (tenure.isProbed && lastProbeAt >= tenure.lastContactAt);
 }
 
 /** A command may be carried out late, and nothing else is to become of the machine. */
--- a/packages/controller/src/shards/machine-releases.ts
+++ b/packages/controller/src/shards/machine-releases.ts
@@ -5,8 +5,9 @@
 import { MAX_MACHINES_PER_RELEASE } from '@archpost/protocol';
 import { hasCancelledWork, type TaskAllocations } from '../allocation/index.js';
 import type { ClusterStateView, EffectSink, Logger } from '../context/index.js';
-import type { Machine, Milliseconds, ReleaseReason } from '../model/index.js';
+import { type Machine, type Milliseconds, type ReleaseReason, toLoggedSeconds } from '../model/index.js';
 import type { AssignmentUpdates } from './assignment-updates.js';
+import type { MachineSilence } from './machine-silence.js';
 
 /** Requests are made this often at most. */
 const RELEASE_INTERVAL_MS = 300;
@@ -27,17 +28,23 @@
     private readonly context: MachineReleasesContext,
     private readonly allocations: TaskAllocations,
     private readonly assignmentUpdates: AssignmentUpdates,
+    private readonly silence: MachineSilence,
   ) {}
 
   /** The machine is to be released; from now on it gets neither commands nor probes. */
-  mark(machine: Machine, reason: ReleaseReason): void {
-    machine.tenure.releaseReason = reason;
+  mark(machine: Machine, reason: ReleaseReason, now: Milliseconds): void {
+    const { tenure } = machine;
+    tenure.releaseReason = reason;
     machine.releaseRetryAt = 0;
     this.context.log('info', 'releasing machine', {
       machine: machine.name,
       zone: this.context.clusterState.zoneNames.nameOf(machine.zoneIndex),
       reason,
-      tasks: machine.tenure.allocations.size,
+      tasks: tenure.allocations.size,
+      // What the decision rests on: when it was heard last, how much of that time was readable here, and what it didn't answer.
+      contactAgeS: toLoggedSeconds(now - tenure.lastContactAt),
+      readableS: toLoggedSeconds(this.silence.heardMsSince(tenure.lastContactAt, now)),
+      unanswered: tenure.unansweredCommands,
     });
   }
 
--- a/packages/controller/src/shards/probe-selection.ts
+++ b/packages/controller/src/shards/probe-selection.ts
@@ -3,13 +3,9 @@
  * answer is the worker's status. Judgements alone; owns no state.
  */
 import { hasCancelledWork, isHeardRecently } from '../allocation/index.js';
-import {
-  CANCELLED_WORK_PRIORITY,
-  type ControllerSettings,
-  LOWEST_REPORTED_PRIORITY,
-  type Machine,
-  type Milliseconds,
-} from '../model/index.js';
+import type { SettingsView } from '../context/index.js';
+import { CANCELLED_WORK_PRIORITY, LOWEST_REPORTED_PRIORITY, type Machine, type Milliseconds } from '../model/index.js';
+import { isBeyondForgiveness, isUnanswering } from './machine-silence.js';
 
 /**
  * Machines that a whole core probes in one tick. After a takeover all have to be, and workers' heartbeats, whose leases run,
@@ -23,12 +19,26 @@
 /** A machine that is silent for this many heartbeat intervals is probed. */
 const PROBE_AFTER_SILENT_INTERVALS = 2;
 
+/**
+ * As many in a tick are for machines that have not been heard for so long that none of their silence is forgiven any more, until
+ * it is known whether they answer. Else those that seem silent because this controller is slow come before them for ever.
+ */
+const RESERVED_PROBES = 4;
+
 /** One probe at a time may be pending per this many sockets: the others are for commands and heartbeats. */
 const SOCKETS_PER_PROBE = 12;
 
 /** The same where a healthy machine is probed, so that it doesn't wait behind those that do not answer. */
 const SOCKETS_PER_HEALTHY_PROBE = 8;
 
+/** How many machines may be probed at one time. */
+export interface ProbeBudget {
+  /** probes that have no outcome yet */
+  pendingProbes: number;
+  /** ticks for which probes are due; more than one where the last tick was longer ago */
+  ticks: number;
+}
+
 /** May a message leave for the machine now? */
 export function mayCommand(machine: Machine, now: Milliseconds): boolean {
   const { tenure } = machine;
@@ -43,10 +53,12 @@
 }
 
 /** Is the machine to be probed before it is commanded? It is silent, does not answer, or something about it is odd. */
-export function needsProbe(machine: Machine, { workers }: ControllerSettings, now: Milliseconds): boolean {
+export function needsProbe(machine: Machine, context: SettingsView, now: Milliseconds): boolean {
   const { tenure } = machine;
   if (!tenure.isVerified || machine.probeRequested || tenure.unansweredCommands > 0) return true;
-  return now - tenure.lastHeartbeatAt > PROBE_AFTER_SILENT_INTERVALS * workers.heartbeatIntervalS * 1000;
+  const { heartbeatIntervalS } = context.settings.workers;
+  if (now - tenure.lastHeartbeatAt > PROBE_AFTER_SILENT_INTERVALS * heartbeatIntervalS * 1000) return true;
+  return isBeyondForgiveness(machine, context, now);
 }
 
 /**
@@ -55,12 +67,16 @@
  */
 export function selectForProbing(
   machines: Machine[],
-  pendingProbes: number,
-  settings: ControllerSettings,
+  { pendingProbes, ticks }: ProbeBudget,
+  context: SettingsView,
   now: Milliseconds,
 ): Machine[] {
-  const limit = Math.max(MIN_PROBES_PER_TICK, Math.round(MAX_PROBES_PER_TICK * settings.cpuShare));
-  if (machines.length > limit) sortForProbing(machines);
+  const { settings } = context;
+  const limit = Math.max(MIN_PROBES_PER_TICK, Math.round(MAX_PROBES_PER_TICK * settings.cpuShare)) * ticks;
+  if (machines.length > limit) {
+    sortForProbing(machines);
+    moveUndecidedFirst(machines, RESERVED_PROBES * ticks, context, now);
+  }
   const selected: Machine[] = [];
   for (const machine of machines) {
     if (selected.length >= limit) break;
@@ -90,6 +106,16 @@
   );
 }
 
+/** Puts a few machines first whose silence isn't forgiven any more, and that have yet to show that they don't answer. */
+function moveUndecidedFirst(machines: Machine[], reserved: number, context: SettingsView, now: Milliseconds): void {
+  const undecided = machines.filter((machine) => !isUnanswering(machine) && isBeyondForgiveness(machine, context, now));
+  undecided.sort((a, b) => a.lastProbeAt - b.lastProbeAt);
+  const first = new Set(undecided.slice(0, reserved));
+  if (first.size === 0) return;
+  const others = machines.filter((machine) => !first.has(machine));
+  machines.splice(0, machines.length, ...first, ...others);
+}
+
 function probePriority(machine: Machine): number {
   return hasCancelledWork(machine) ? CANCELLED_WORK_PRIORITY : machine.tenure.reportedPriority;
 }
--- a/packages/controller/src/shards/shard-controller.ts
+++ b/packages/controller/src/shards/shard-controller.ts
@@ -34,7 +34,9 @@
 import type { HeartbeatReconciliation } from './heartbeat-reconciliation.js';
 import type { ImageCacheWriter } from './image-cache-writer.js';
 import { JobChecks } from './job-checks.js';
+import { LocalHealth } from './local-health.js';
 import { MachineLifecycle } from './machine-lifecycle.js';
+import { MachineSilence } from './machine-silence.js';
 import type { ProgressWriter } from './progress-writer.js';
 import { shardDebugSummary } from './shard-debug-summary.js';
 import { ShardSummaries } from './shard-summary.js';
@@ -73,6 +75,7 @@
   private readonly machineLifecycle: MachineLifecycle;
   private readonly commandDispatcher: CommandDispatcher;
   private readonly workerAnswers = new WorkerAnswers();
+  private readonly localHealth: LocalHealth;
   private readonly imageCacheWriter: ImageCacheWriter;
   private readonly jobChecks: JobChecks;
   private readonly queueOrder: QueueOrder;
@@ -88,7 +91,9 @@
     this.allocations = allocations;
     this.imageCacheWriter = imageCacheWriter;
     this.jobChecks = new JobChecks(context, allocations, progressWriter);
-    this.machineLifecycle = new MachineLifecycle(context, this.allocations, this.workerAnswers);
+    this.localHealth = new LocalHealth(context);
+    const silence = new MachineSilence(context, this.localHealth);
+    this.machineLifecycle = new MachineLifecycle(context, this.allocations, this.workerAnswers, silence);
     this.commandDispatcher = new CommandDispatcher(context, this.allocations, reconciler, this.workerAnswers);
     this.queueOrder = new QueueOrder(context, this.allocations);
     this.scheduler = new Scheduler(context, this.allocations, this.queueOrder);
@@ -202,9 +207,15 @@
     this.machineLifecycle.handleReleaseOutcome(id, isReleased, now);
   }
 
+  /** What arrived within the last `lagMs` may not have been taken yet: see `LocalHealth`. */
+  recordLag(lagMs: Milliseconds, now: Milliseconds): void {
+    this.localHealth.recordLag(lagMs, now);
+  }
+
   /** This process was paused until `now`: workers that it did not hear meanwhile were not silent. */
   processPaused(pauseMs: Milliseconds, now: Milliseconds): void {
     this.allocations.advanceTo(now);
+    this.localHealth.pauseEnded(now);
     this.workerAnswers.recordAnswer(now);
     this.machineLifecycle.failureDetector.processPaused();
     for (const machine of this.context.clusterState.machines.values()) {
--- a/packages/server/src/effect-executor.ts
+++ b/packages/server/src/effect-executor.ts
@@ -65,7 +65,7 @@
     const { controller, inbox } = this;
     switch (effect.type) {
       case 'command':
-        inbox.enqueueControlEvent(() => controller.receiveCommandOutcome(effect.id, { kind: 'refused' }, monotonicMs()));
+        inbox.enqueueControlEvent(() => controller.receiveCommandOutcome(effect.id, { kind: 'withheld' }, monotonicMs()));
         return true;
       case 'release':
         inbox.enqueueControlEvent(() => controller.receiveReleaseOutcome(effect.id, false, monotonicMs()));
--- a/packages/server/src/tick-timer.ts
+++ b/packages/server/src/tick-timer.ts
@@ -8,7 +8,8 @@
 
 /**
  * Schedules each tick when the one before is over; a tick that took long is followed by as long a time for everything else.
- * How late the timer fires, or how long inputs have waited by then, is what the load shedder measures load by.
+ * How late the timer fires, or how long inputs have waited by then, is what the load shedder measures load by, and what the
+ * controller doesn't hold against machines that it did not hear meanwhile.
  */
 export class TickTimer {
   private timer: NodeJS.Timeout | undefined;
@@ -39,13 +40,14 @@
 
   private handleTimer(dueAt: number): void {
     this.loadShedder.recordTimerDelay(Math.max(monotonicMs() - dueAt, this.inbox.queueDelayMs));
-    this.inbox.enqueueControlEvent(() => this.tick());
+    this.inbox.enqueueControlEvent(() => this.tick(dueAt));
   }
 
   /** Schedules the next tick even if this one throws. */
-  private tick(): void {
+  private tick(dueAt: number): void {
     const startedAt = monotonicMs();
     try {
+      this.controller.recordLag(Math.max(startedAt - dueAt, this.inbox.queueDelayMs), startedAt);
       this.controller.tick(startedAt, Date.now());
     } finally {
       const tookMs = monotonicMs() - startedAt;
