Tests: words that every object has as members, shard leases that end with the state lease, and more of slow controllers

Red: a heartbeat's cause 'constructor' is decoded to a function; a shard lease that ends with the state lease isn't logged as lost. Green: cancelled work on hung machines, the end of a preemption notice, withheld commands and implausible measurements of lag, with a controller that is short of processor.

--- a/test/failover.test.ts
+++ b/test/failover.test.ts
@@ -211,3 +211,21 @@
   assert.equal(machine.shard, 1);
   assert.notEqual(machine.tenure, tenure, 'the move begins a new tenure');
 });
+
+// Only leases that another controller took were logged as lost, not those that ended with the state lease.
+test('shard leases that end with the state lease are logged as lost, each once', () => {
+  const cluster = smallCluster(4);
+  const node = cluster.controllers[0] as SimulatedController;
+  const held = [...node.controller.shardController.heldShards.keys()].map(String);
+  assert.ok(held.length > 0);
+  const lost: string[] = [];
+  cluster.onLog = (controller, { message, fields }) => {
+    if (controller === node.name && message === 'shard lease lost') lost.push(String(fields?.lease));
+  };
+  node.controller.receiveLeaseState(null, 0, cluster.now);
+  node.run();
+  assert.deepEqual(
+    lost.filter((lease) => lease !== 'lead'),
+    held,
+  );
+});
--- a/test/simulation/cluster.ts
+++ b/test/simulation/cluster.ts
@@ -38,6 +38,8 @@
   losesCommands: (controller: string, machine: string) => boolean = () => false;
   /** true if no connection to the machine can be opened: a direct command never leaves */
   refusesCommands: (controller: string, machine: string) => boolean = () => false;
+  /** true if the controller drops what it decided to send, since it was late itself */
+  withholdsCommands: (controller: string, machine: string) => boolean = () => false;
   /** true if what the first controller tells the second is lost, though not the other way round */
   losesPeerMessages: (from: string, to: string) => boolean = () => false;
   /** true if it comes late */
@@ -46,6 +48,8 @@
   garblesAnswers: (controller: string, machine: string) => boolean = () => false;
   /** true if the machine reaches no controller, though direct commands reach it */
   isMute: (machine: string) => boolean = () => false;
+  /** sees what controllers log */
+  onLog: ((controller: string, effect: Extract<Effect, { type: 'log' }>) => void) | null = null;
   /** sees every message between controllers as it leaves */
   onPeerMessage: ((bytes: Uint8Array) => void) | null = null;
   /** sees every heartbeat as it leaves, to deliver copies late */
--- a/test/simulation/controller.ts
+++ b/test/simulation/controller.ts
@@ -286,6 +286,12 @@
       cluster.onCommands?.(effect.commands);
       this.pendingProbes += probeCount;
       cluster.maxPendingProbes = Math.max(cluster.maxPendingProbes, this.pendingProbes);
+      if (cluster.withholdsCommands(this.name, effect.machine)) {
+        return schedule(10, () => {
+          this.pendingProbes -= probeCount;
+          core.receiveCommandOutcome(effect.id, { kind: 'withheld' }, cluster.now);
+        });
+      }
       if (cluster.refusesCommands(this.name, effect.machine)) {
         return schedule(2500, () => {
           this.pendingProbes -= probeCount;
@@ -342,6 +348,8 @@
         const heartbeat = this.sent(node, { node: this.name, status: null, heartbeat: effect.heartbeat }).heartbeat as Heartbeat;
         node.input(() => node.controller.receiveForwardedHeartbeat(heartbeat, cluster.now));
       }
+    } else if (effect.type === 'log') {
+      cluster.onLog?.(this.name, effect);
     } else if (effect.type === 'readBarrier') {
       cluster.readBarriers++;
     } else if (effect.type === 'release') {
--- a/test/starved-controller.test.ts
+++ b/test/starved-controller.test.ts
@@ -10,6 +10,7 @@
 
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { workerRunning } from './scenarios/partition-scenarios.js';
 import {
   job,
   type ProcessorBudget,
@@ -133,3 +134,62 @@
   cluster.run(releaseLimitS(budget) + 60);
   assert.deepEqual(released(cluster), namesOf(dying));
 });
+
+test('cancelled work on machines that hang is gone in time though the controller is short of processor', () => {
+  const cluster = runningCluster(['n0']);
+  cluster.submit(job('run-c', { tasks: 8, estimatedRunS: 500 }));
+  cluster.runUntil('running', () => cluster.runningTasks('run-c') === 8);
+  (cluster.controllers[0] as SimulatedController).processor = { runMs: 100, periodMs: 700, inputsPerStep: 60 };
+  cluster.run(10);
+  const hanging = cluster.machinesRunning('run-c');
+  for (const worker of cluster.workers) if (hanging.includes(worker.name)) worker.hung = true;
+  cluster.cancel('run-c');
+  // The rules, checked at each step, say how long a cancelled task may be on a machine.
+  cluster.run(45);
+  assert.deepEqual(cluster.machinesRunning('run-c'), []);
+  assert.deepEqual(released(cluster), [...hanging].sort());
+});
+
+test('a spot machine that is gone at the end of its notice is released as soon by a controller that is short of processor', () => {
+  const releaseAfterMs = (budget: ProcessorBudget | null) => {
+    const cluster = runningCluster(['n0']);
+    const worker = workerRunning(cluster, 'run-v');
+    (cluster.controllers[0] as SimulatedController).processor = budget;
+    worker.preemptionNoticeS = 5;
+    cluster.run(5);
+    kill([worker]);
+    const from = cluster.now;
+    cluster.runUntil('released', () => released(cluster).includes(worker.name), 20);
+    return cluster.now - from;
+  };
+  const budget: ProcessorBudget = { runMs: 100, periodMs: 700, inputsPerStep: 60 };
+  assert.ok(releaseAfterMs(budget) <= releaseAfterMs(null) + 3 * budget.periodMs);
+});
+
+test('commands that the controller withheld since it was late are not held against the machine', () => {
+  const cluster = runningCluster(['n0']);
+  const worker = workerRunning(cluster, 'run-v');
+  cluster.withholdsCommands = (_controller, machine) => machine === worker.name;
+  const { tenure } = cluster.controllers[0]?.controller.clusterState.machines.get(worker.name) ?? {};
+  cluster.submit(job('run-w', { tasks: 400, estimatedRunS: 5 }));
+  cluster.run(40);
+  assert.deepEqual(released(cluster), []);
+  assert.equal(tenure?.unansweredCommands, 0);
+});
+
+test('a measurement of lag that can not be right forgives nothing, and is logged once', () => {
+  const cluster = runningCluster(['n0']);
+  const { controller } = cluster.controllers[0] as SimulatedController;
+  const messages: string[] = [];
+  cluster.onLog = (_controller, { message }) => messages.push(message);
+  const [dying] = cluster.workers;
+  assert.ok(dying);
+  kill([dying]);
+  const from = cluster.now;
+  while (!released(cluster).includes(dying.name) && cluster.now < from + 3 * SILENT_S * 1000) {
+    for (const lagMs of [Number.NaN, -5, Number.POSITIVE_INFINITY, cluster.now + 1]) controller.recordLag(lagMs, cluster.now);
+    cluster.run(0.1);
+  }
+  assert.ok(cluster.now - from <= (SILENT_S + 2) * 1000, `released after ${cluster.now - from} ms`);
+  assert.equal(messages.filter((message) => message === 'implausible lag measurement').length, 1);
+});
--- a/test/wire-formats.test.ts
+++ b/test/wire-formats.test.ts
@@ -2,7 +2,7 @@
 
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { decodePeerMessage, encodePeerMessage, parseChanges, parseSubmission } from '@archpost/protocol';
+import { decodePeerMessage, encodePeerMessage, parseChanges, parseHeartbeat, parseSubmission } from '@archpost/protocol';
 
 const wireJob = {
   ref: 'run-000412',
@@ -69,3 +69,24 @@
   };
   assert.deepEqual(decodePeerMessage(encodePeerMessage({ node: 'a', status: null, heartbeat: report })).heartbeat, report);
 });
+
+// A heartbeat whose `status` was `constructor` was decoded to a function: the word was looked up in an object, which has the
+// members of every object beside its own.
+test('words that every object has as members are taken as unknown ones', () => {
+  for (const word of ['constructor', 'toString', 'valueOf', 'hasOwnProperty', '__proto__', 'isPrototypeOf']) {
+    const heartbeat = parseHeartbeat({
+      ...{ host: 'n-1', address: '10.1.0.1:9000', build: 'g8', yard: 'a', loaners: false, shift: 1, tally: 1 },
+      pieces: [{ piece: 'run-1/0', try: 1, status: word, cause: word }],
+    });
+    assert.deepEqual(heartbeat?.tasks[0], {
+      job: 'run-1',
+      index: 0,
+      attempt: 1,
+      state: 'running',
+      exitReason: 'error',
+      saved: false,
+    });
+    assert.deepEqual(parseSubmission({ ...wireJob, shape: word }), { field: 'shape' });
+    assert.deepEqual(parseSubmission({ ...wireJob, rank: word }), { field: 'rank' });
+  }
+});
