Words of heartbeats are looked up in maps; each end of a shard lease is logged

Symptom: a task whose status or cause was constructor, toString and the like had a function for its state, which went on to peers. Cause: the word was looked up in an object. Job specs check theirs against a list, and no other look-up takes a word from outside. Symptom: no 'shard lease lost' when the state lease ended. Cause: stateLeaseExpired did by itself what leaseNotHeld does.

--- a/packages/controller/src/leadership/shard-leases.ts
+++ b/packages/controller/src/leadership/shard-leases.ts
@@ -82,10 +82,7 @@
 
   /** The state lease has expired: nothing that was attached to it is held any more. */
   stateLeaseExpired(): void {
-    for (const lease of [...this.heldLeases.keys()]) {
-      this.heldLeases.delete(lease);
-      this.context.leaseLost(lease);
-    }
+    for (const lease of [...this.heldLeases.keys()]) this.leaseNotHeld(lease, null);
     this.releasing.clear();
   }
 
--- a/packages/protocol/src/worker/heartbeat.ts
+++ b/packages/protocol/src/worker/heartbeat.ts
@@ -47,24 +47,28 @@
 /** A count, version, token or attempt. */
 const countOnWire = z.number().int().min(0);
 
-const TASK_STATE_FROM_WIRE: Record<string, TaskState> = {
-  fetching: 'fetching',
-  gathering: 'waiting',
-  running: 'running',
-  saving: 'saving',
-  ended: 'exited',
-};
+const TASK_STATE_FROM_WIRE: ReadonlyMap<string, TaskState> = new Map(
+  Object.entries({
+    fetching: 'fetching',
+    gathering: 'waiting',
+    running: 'running',
+    saving: 'saving',
+    ended: 'exited',
+  } as const satisfies Record<string, TaskState>),
+);
 
-const EXIT_REASON_FROM_WIRE: Record<string, ExitReason> = {
-  done: 'done',
-  stopped: 'stopped',
-  peers: 'peers',
-  incomplete: 'alone',
-  error: 'error',
-  full: 'no_room',
-  busy: 'busy',
-  no_such: 'unknown',
-};
+const EXIT_REASON_FROM_WIRE: ReadonlyMap<string, ExitReason> = new Map(
+  Object.entries({
+    done: 'done',
+    stopped: 'stopped',
+    peers: 'peers',
+    incomplete: 'alone',
+    error: 'error',
+    full: 'no_room',
+    busy: 'busy',
+    no_such: 'unknown',
+  } as const satisfies Record<string, ExitReason>),
+);
 
 const taskStatusOnWire = z.object({
   piece: z.string().regex(/^.+\/\d+$/),
@@ -113,8 +117,8 @@
     index: Number(task.piece.slice(separator + 1)),
     attempt: task.try,
     // A task in a state that is unknown here still occupies its machine.
-    state: TASK_STATE_FROM_WIRE[task.status] ?? 'running',
-    exitReason: task.cause ? (EXIT_REASON_FROM_WIRE[task.cause] ?? 'error') : null,
+    state: TASK_STATE_FROM_WIRE.get(task.status) ?? 'running',
+    exitReason: task.cause ? (EXIT_REASON_FROM_WIRE.get(task.cause) ?? 'error') : null,
     saved: task.saved ?? false,
   };
 }
