Rejected connections are no silence of workers; probes go first to those nearest to a decision

A worker whose connection is rejected for want of sockets comes back a second later: until then it can't be heard, so that second counts as unread.

--- a/packages/controller/src/shards/command-dispatcher.ts
+++ b/packages/controller/src/shards/command-dispatcher.ts
@@ -9,18 +9,12 @@
 import { type CommandOutcome, CommandOutcomes, type PendingCommand } from './command-outcomes.js';
 import type { HeartbeatReconciliation } from './heartbeat-reconciliation.js';
 import { hasCommandsDue, machineCommands } from './machine-commands.js';
-import { mayCommand, needsProbe, type ProbeBudget, selectForProbing } from './probe-selection.js';
+import { mayCommand, needsProbe, selectForProbing } from './probe-selection.js';
 import type { WorkerAnswers } from './worker-answers.js';
 
 /** What an agent that has not been heard is addressed with: it answers with its own epoch. */
 const FIRST_EPOCH = 1;
 
-/** Ticks come this often where there is processor time for them. */
-const TICK_INTERVAL_MS = 100;
-
-/** After a longer time without a tick, no more is probed than in so many. */
-const MAX_TICKS_OF_PROBES = 4;
-
 /** What the command dispatcher needs of its controller. */
 type CommandDispatcherContext = SettingsView & ClusterStateView & EffectSink & Logger;
 
@@ -30,7 +24,6 @@
   private readonly pendingCommands = new Map<number, PendingCommand>();
   /** how many of the pending commands are probes */
   private pendingProbes = 0;
-  private dispatchedAt: Milliseconds = 0;
 
   constructor(
     private readonly context: CommandDispatcherContext,
@@ -51,14 +44,7 @@
       if (needsProbe(machine, this.context, now)) toProbe.push(machine);
       else this.dispatch(machine, now);
     }
-    for (const machine of selectForProbing(toProbe, this.probeBudget(now), this.context, now)) this.probe(machine, now);
-  }
-
-  /** What may be probed now: a controller that ticks late probes as many in a second as one in time, within limits. */
-  private probeBudget(now: Milliseconds): ProbeBudget {
-    const elapsedTicks = (now - this.dispatchedAt) / TICK_INTERVAL_MS;
-    this.dispatchedAt = now;
-    return { pendingProbes: this.pendingProbes, ticks: Math.min(MAX_TICKS_OF_PROBES, Math.max(1, elapsedTicks)) };
+    for (const machine of selectForProbing(toProbe, this.pendingProbes, this.context, now)) this.probe(machine, now);
   }
 
   /** The outcome of the command or probe with this effect id. */
--- a/packages/controller/src/shards/probe-selection.ts
+++ b/packages/controller/src/shards/probe-selection.ts
@@ -31,14 +31,6 @@
 /** The same where a healthy machine is probed, so that it doesn't wait behind those that do not answer. */
 const SOCKETS_PER_HEALTHY_PROBE = 8;
 
-/** How many machines may be probed at one time. */
-export interface ProbeBudget {
-  /** probes that have no outcome yet */
-  pendingProbes: number;
-  /** ticks for which probes are due; more than one where the last tick was longer ago */
-  ticks: number;
-}
-
 /** May a message leave for the machine now? */
 export function mayCommand(machine: Machine, now: Milliseconds): boolean {
   const { tenure } = machine;
@@ -67,15 +59,15 @@
  */
 export function selectForProbing(
   machines: Machine[],
-  { pendingProbes, ticks }: ProbeBudget,
+  pendingProbes: number,
   context: SettingsView,
   now: Milliseconds,
 ): Machine[] {
   const { settings } = context;
-  const limit = Math.max(MIN_PROBES_PER_TICK, Math.round(MAX_PROBES_PER_TICK * settings.cpuShare)) * ticks;
+  const limit = Math.max(MIN_PROBES_PER_TICK, Math.round(MAX_PROBES_PER_TICK * settings.cpuShare));
   if (machines.length > limit) {
     sortForProbing(machines);
-    moveUndecidedFirst(machines, RESERVED_PROBES * ticks, context, now);
+    moveUndecidedFirst(machines, context, now);
   }
   const selected: Machine[] = [];
   for (const machine of machines) {
@@ -107,10 +99,11 @@
 }
 
 /** Puts a few machines first whose silence isn't forgiven any more, and that have yet to show that they don't answer. */
-function moveUndecidedFirst(machines: Machine[], reserved: number, context: SettingsView, now: Milliseconds): void {
+function moveUndecidedFirst(machines: Machine[], context: SettingsView, now: Milliseconds): void {
   const undecided = machines.filter((machine) => !isUnanswering(machine) && isBeyondForgiveness(machine, context, now));
-  undecided.sort((a, b) => a.lastProbeAt - b.lastProbeAt);
-  const first = new Set(undecided.slice(0, reserved));
+  // Those that have missed a command are nearest to a decision.
+  undecided.sort((a, b) => b.tenure.unansweredCommands - a.tenure.unansweredCommands || a.lastProbeAt - b.lastProbeAt);
+  const first = new Set(undecided.slice(0, RESERVED_PROBES));
   if (first.size === 0) return;
   const others = machines.filter((machine) => !first.has(machine));
   machines.splice(0, machines.length, ...first, ...others);
--- a/packages/http-api/src/connection-limiter.ts
+++ b/packages/http-api/src/connection-limiter.ts
@@ -14,6 +14,7 @@
 export class ConnectionLimiter {
   private openConnections = 0;
   private rejectedConnections = 0;
+  private takenConnections = 0;
 
   /** @param limit connections that may be open at once; infinite: no limit */
   constructor(private readonly limit: number) {}
@@ -40,11 +41,16 @@
     return this.openConnections;
   }
 
+  /** How many connections were rejected since the start. */
+  get rejectedTotal(): number {
+    return this.rejectedConnections;
+  }
+
   /** How many connections were rejected since the last call. */
   takeRejectedCount(): number {
-    const { rejectedConnections } = this;
-    this.rejectedConnections = 0;
-    return rejectedConnections;
+    const count = this.rejectedConnections - this.takenConnections;
+    this.takenConnections = this.rejectedConnections;
+    return count;
   }
 
   /** Whether a connection of such a client may stay open after its response. */
--- a/packages/server/src/service.ts
+++ b/packages/server/src/service.ts
@@ -77,9 +77,10 @@
     this.api = this.createApi();
     this.inputRouter = new InputRouter(this.controller, this.inbox, this.api);
     this.effectExecutor = this.createEffectExecutor();
-    this.tickTimer = new TickTimer(this.controller, this.inbox, this.loadShedder);
-    const { inbox, loadShedder, api } = this;
-    this.metricsReporter = new MetricsReporter({ inbox, loadShedder, connections: api.connections, log });
+    const { controller, inbox, loadShedder } = this;
+    const { connections } = this.api;
+    this.tickTimer = new TickTimer({ controller, inbox, loadShedder, connections });
+    this.metricsReporter = new MetricsReporter({ inbox, loadShedder, connections, log });
   }
 
   /** Resolves once peers, users and workers can connect; rejects if an address can't be listened on. */
