--- a/packages/state-client/src/state-service-connection.ts
+++ b/packages/state-client/src/state-service-connection.ts
@@ -28,7 +28,7 @@
 
   /** The outcome of a POST request; it does not reject. */
   async post(path: string, body: Buffer, timeoutMs: number): Promise<CallOutcome> {
-    if (this.isClosed) return { kind: 'notSent' };
+    if (this.isClosed) return { kind: 'notSent', isOwnDelay: true };
     return this.client.call({ method: 'POST', path, body, timeoutMs });
   }
 
--- a/packages/worker-client/src/worker-client.ts
+++ b/packages/worker-client/src/worker-client.ts
@@ -7,10 +7,11 @@
 
 /**
  * Ok: carried out. Stale: nothing was carried out, since the worker has seen a higher fencing token or is in another
- * agent epoch. Both come with the worker's status afterwards, null if it can not be parsed. Refused: nothing was sent.
- * Lost: the commands may have been carried out, or may be later.
+ * agent epoch. Both come with the worker's status afterwards, null if it can not be parsed. Refused: the worker
+ * could not be connected to, and nothing was sent. Withheld: nothing was sent since this process was late. Lost: the commands may
+ * have been carried out, or may be later.
  */
-export type CommandOutcome = { kind: 'ok' | 'stale'; heartbeat: Heartbeat | null } | { kind: 'lost' | 'refused' };
+export type CommandOutcome = { kind: 'ok' | 'stale'; heartbeat: Heartbeat | null } | { kind: 'lost' | 'refused' | 'withheld' };
 
 /** Commands to one worker. */
 export interface CommandRequest {
@@ -40,14 +41,14 @@
 
   /** Sends commands and resolves with their outcome; it does not reject. */
   async sendCommands({ address, fencingToken, agentEpoch, commands }: CommandRequest): Promise<CommandOutcome> {
-    if (this.isClosed) return { kind: 'refused' };
+    if (this.isClosed) return { kind: 'withheld' };
     const outcome = await this.connections.get(address).call({
       method: 'POST',
       path: PATHS.commands,
       body: pack(encodeCommandRequest(fencingToken, agentEpoch, commands)),
       timeoutMs: COMMAND_TIMEOUT_MS,
     });
-    if (outcome.kind === 'notSent') return { kind: 'refused' };
+    if (outcome.kind === 'notSent') return { kind: outcome.isOwnDelay ? 'withheld' : 'refused' };
     if (outcome.kind === 'unknown') return { kind: 'lost' };
     const body = unpackMap(outcome.body);
     if (outcome.status === 200) return { kind: 'ok', heartbeat: body && parseHeartbeat(body) };
