--- a/test/heartbeat-connections.test.ts
+++ b/test/heartbeat-connections.test.ts
@@ -209,3 +209,34 @@
   context.after(() => clearInterval(more));
   await Promise.all([silent.closed(), halfQuestion.closed()]);
 });
+
+// A heartbeat with a negative length, or one that is no number, waited ten seconds for a body that can't come, and its connection
+// was closed without an answer; one with a length and chunks was taken, though two readers could cut its body differently.
+test('a heartbeat whose body has no certain length is answered 400 and its connection is closed', async (context) => {
+  const { requests, connect } = await door(context);
+  const odd: [string, string[]][] = [
+    ['negative', ['Content-Length: -1']],
+    ['no number', ['Content-Length: x']],
+    ['empty', ['Content-Length:']],
+    ['with a sign', ['Content-Length: +5']],
+    ['hexadecimal', ['Content-Length: 0x5']],
+    ['with an exponent', ['Content-Length: 1e1']],
+    ['not whole', ['Content-Length: 1.5']],
+    ['two that differ', ['Content-Length: 1', 'Content-Length: 2']],
+    ['two in one', ['Content-Length: 5, 6']],
+    ['a length and chunks', [`Content-Length: ${IDLE_HEARTBEAT.length}`, 'Transfer-Encoding: chunked']],
+    ['an unknown transfer encoding', ['Transfer-Encoding: odd']],
+  ];
+  for (const [what, headers] of odd) {
+    const client = await connect();
+    client.socket.write(`POST ${PATHS.heartbeat} HTTP/1.1\r\nHost: c\r\n${headers.join('\r\n')}\r\n\r\n`);
+    const reply = await client.reply();
+    assert.equal(reply?.status, 400, what);
+    assert.match(reply?.head ?? '', /connection: close/i, what);
+    await client.closed();
+  }
+  assert.equal(requests.length, 0);
+  const good = await connect();
+  good.socket.write(request(IDLE_HEARTBEAT));
+  assert.equal((await good.reply())?.status, 200, 'others are served');
+});
