--- a/test/measure/starvation.ts
+++ b/test/measure/starvation.ts
@@ -9,21 +9,42 @@
 import { CloudServer, type ListedMachine } from '../loopback/cloud-server.js';
 import { ControllerProcess, freeAddress } from '../loopback/controller-process.js';
 import { StateServer } from '../loopback/state-server.js';
-import { type RequestCounts, WorkerFleet } from '../loopback/worker-fleet.js';
+import { WorkerFleet } from '../loopback/worker-fleet.js';
+
+/** First arguments of the processes that this one starts. */
+const WORKERS_ROLE = 'role-workers';
+const STATE_ROLE = 'role-state';
 
 const WORKER_PROCESSES = 4;
 const ZONES = ['east', 'west'];
 const LEASE_MS = 12_000;
 const POLL_MS = 100;
 
+/** Nothing is disturbed at first, so that the start of the fleet is not what is measured. */
+const UNDISTURBED_MS = 15_000;
+
+/** What is under way at the end has this long. */
+const SETTLE_MS = 1000;
+
 /** Releases of healthy machines that are printed with what they rested on. */
 const MAX_EVIDENCE = 12;
 
+/** What is played. */
+interface Run {
+  side: string;
+  stoppedMs: number;
+  periodMs: number;
+  machines: number;
+  reportS: number;
+  seconds: number;
+  sockets: number;
+  dead: number;
+}
+
 /** The arguments of a process of workers: which part of all workers it has. */
 interface WorkersPart {
   machines: number;
   part: number;
-  parts: number;
   reportS: number;
   controller: string;
 }
@@ -44,23 +65,41 @@
   | { type: 'dead'; names: string[] }
   | { type: 'summary'; summary: WorkersSummary };
 
+/** All processes of a run. */
+interface Processes {
+  controller: ControllerProcess;
+  workers: ChildProcess[];
+  state: ChildProcess;
+  cloud: CloudServer;
+}
+
+/** What was seen while a side was disturbed. */
+interface Observation {
+  /** when the machines died; null: none did */
+  diedAt: number | null;
+  deadNames: ReadonlySet<string>;
+  /** when each machine's release was seen */
+  returnedAt: ReadonlyMap<string, number>;
+  processorMs: number;
+}
+
 const sleep = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
 
-function summaryOf(counts: RequestCounts, fleet: WorkerFleet): WorkersSummary {
-  const { sent, timedOut, connectionFailed, byStatus } = counts;
+function summaryOf(fleet: WorkerFleet): WorkersSummary {
+  const { sent, timedOut, connectionFailed, byStatus } = fleet.counts;
   const leasesOver = fleet.workers.filter(({ longestUnrenewedMs }) => longestUnrenewedMs > LEASE_MS).length;
   return { sent, timedOut, connectionFailed, byStatus: [...byStatus], leasesOver };
 }
 
-/** A process of workers: every `parts`-th of all. */
-async function runWorkers({ machines, part, parts, reportS, controller }: WorkersPart): Promise<void> {
+/** A process of workers. */
+async function runWorkers({ machines, part, reportS, controller }: WorkersPart): Promise<void> {
   const fleet = new WorkerFleet(['n0'], [controller], reportS * 1000);
-  await fleet.add(machines, ZONES, part, parts);
+  await fleet.add(machines, ZONES, part, WORKER_PROCESSES);
   const send = (message: FromWorkers) => process.send?.(message);
   send({ type: 'machines', machines: fleet.workers.map(({ machine }) => machine) });
   process.on('message', (message: ToWorkers) => {
     if (message.type === 'start') fleet.start();
-    else if (message.type === 'summary') send({ type: 'summary', summary: summaryOf(fleet.counts, fleet) });
+    else if (message.type === 'summary') send({ type: 'summary', summary: summaryOf(fleet) });
     else {
       const dying = fleet.workers.slice(0, message.count);
       for (const worker of dying) worker.die();
@@ -94,31 +133,22 @@
   });
 }
 
-function percentile(sorted: readonly number[], fraction: number): number {
-  return sorted[Math.min(sorted.length - 1, Math.floor(fraction * sorted.length))] ?? Number.NaN;
+function parseRun([side, ...numbers]: string[]): Run {
+  const [stoppedMs = 500, periodMs = 1000, machines = 600, reportS = 2, seconds = 60, sockets, dead = 0] = numbers.map(Number);
+  const enoughSockets = Math.ceil(machines * 1.35) + 200;
+  return { side: side ?? 'controller', stoppedMs, periodMs, machines, reportS, seconds, sockets: sockets ?? enoughSockets, dead };
 }
 
-async function play(): Promise<void> {
-  const [side = 'controller', stopped = '500', period = '1000', machineCount = '600', report = '2', length = '60'] =
-    process.argv.slice(2);
-  const [stoppedMs, periodMs, machines, reportS, seconds] = [stopped, period, machineCount, report, length].map(Number) as [
-    number,
-    number,
-    number,
-    number,
-    number,
-  ];
-  const sockets = Number(process.argv[8] ?? Math.ceil(machines * 1.35) + 200);
-  const dead = Number(process.argv[9] ?? 0);
+/** Starts everything, and waits until the controller is up. */
+async function startAll({ machines, reportS, sockets }: Run): Promise<Processes> {
   const publicAddress = await freeAddress();
-  const stateProcess = forkRole('state', {});
-  const state = await new Promise<string>((resolve) => stateProcess.once('message', (address) => resolve(String(address))));
+  const state = forkRole(STATE_ROLE, {});
+  const stateAddress = await new Promise<string>((resolve) => state.once('message', (address) => resolve(String(address))));
   const workers = Array.from({ length: WORKER_PROCESSES }, (_, part) =>
-    forkRole('workers', { machines, part, parts: WORKER_PROCESSES, reportS, controller: publicAddress }),
+    forkRole(WORKERS_ROLE, { machines, part, reportS, controller: publicAddress } satisfies WorkersPart),
   );
   const listed = (await Promise.all(workers.map((child) => messageOf(child, 'machines')))).flatMap((message) => message.machines);
   listed.sort((a, b) => (a.name < b.name ? -1 : 1));
-  const returnedAt = new Map<string, number>();
   const cloud = new CloudServer(() => listed);
   const controller = new ControllerProcess({
     name: 'n0',
@@ -127,7 +157,7 @@
     peerAddress: await freeAddress(),
     others: [],
     cloud: await cloud.listen(),
-    state,
+    state: stateAddress,
     zones: ZONES,
     memoryMb: 300,
     sockets,
@@ -135,94 +165,114 @@
     reportS,
   });
   controller.start();
-  const end = () => {
-    for (const child of [...workers, stateProcess]) child.kill('SIGKILL');
+  process.on('exit', () => {
+    for (const child of [...workers, state]) child.kill('SIGKILL');
     controller.stop();
-  };
-  process.on('exit', end);
+  });
   while (!(await controller.isUp())) await sleep(POLL_MS);
   for (const child of workers) child.send({ type: 'start' } satisfies ToWorkers);
-  // Undisturbed for a moment, so that the first start is not what is measured.
-  await sleep(15_000);
-  const signalAll = (name: NodeJS.Signals) => {
-    if (side === 'controller' || side === 'both') controller.signal(name);
-    if (side === 'workers' || side === 'both') for (const child of workers) child.kill(name);
-    if (side === 'state') stateProcess.kill(name);
-  };
+  return { controller, workers, state, cloud };
+}
+
+function signalSide(side: string, { controller, workers, state }: Processes, signal: NodeJS.Signals): void {
+  if (side === 'controller' || side === 'both') controller.signal(signal);
+  if (side === 'workers' || side === 'both') for (const child of workers) child.kill(signal);
+  if (side === 'state') state.kill(signal);
+}
+
+/** Has machines of the first process die. Returns their names. */
+async function killMachines({ workers }: Processes, count: number): Promise<string[]> {
+  const child = workers[0] as ChildProcess;
+  const answer = messageOf(child, 'dead');
+  child.send({ type: 'die', count } satisfies ToWorkers);
+  return (await answer).names;
+}
+
+/** Stops and continues the side, period by period, until the time is over. */
+async function disturb(run: Run, processes: Processes): Promise<Observation> {
+  const { controller, cloud } = processes;
+  const returnedAt = new Map<string, number>();
   const deadNames = new Set<string>();
+  let diedAt: number | null = null;
   const from = Date.now();
-  let diedAt = 0;
-  const cpuBefore = controller.processorMs();
-  while (Date.now() - from < seconds * 1000 && !controller.ended) {
-    if (dead > 0 && diedAt === 0 && Date.now() - from > (seconds * 1000) / 3) {
-      const child = workers[0] as ChildProcess;
-      const answer = messageOf(child, 'dead');
-      child.send({ type: 'die', count: dead } satisfies ToWorkers);
-      for (const name of (await answer).names) deadNames.add(name);
+  const processorBefore = controller.processorMs();
+  while (Date.now() - from < run.seconds * 1000 && !controller.ended) {
+    if (run.dead > 0 && diedAt === null && Date.now() - from > (run.seconds * 1000) / 3) {
+      for (const name of await killMachines(processes, run.dead)) deadNames.add(name);
       diedAt = Date.now();
     }
-    if (side !== 'none') signalAll('SIGSTOP');
-    await sleep(side === 'none' ? 0 : stoppedMs);
-    if (side !== 'none') signalAll('SIGCONT');
-    await sleep(Math.max(0, periodMs - stoppedMs));
+    signalSide(run.side, processes, 'SIGSTOP');
+    await sleep(run.stoppedMs);
+    signalSide(run.side, processes, 'SIGCONT');
+    await sleep(Math.max(0, run.periodMs - run.stoppedMs));
     for (const name of cloud.returned) if (!returnedAt.has(name)) returnedAt.set(name, Date.now());
   }
-  const cpuMs = controller.processorMs() - cpuBefore;
-  await sleep(1000);
-  const summaries: WorkersSummary[] = [];
-  for (const child of workers) {
-    const answer = messageOf(child, 'summary');
-    child.send({ type: 'summary' } satisfies ToWorkers);
-    summaries.push((await answer).summary);
-  }
+  return { diedAt, deadNames, returnedAt, processorMs: controller.processorMs() - processorBefore };
+}
+
+/** What all workers saw. */
+async function workersFigures({ workers }: Processes): Promise<Record<string, unknown>> {
+  const summaries = await Promise.all(
+    workers.map(async (child) => {
+      const answer = messageOf(child, 'summary');
+      child.send({ type: 'summary' } satisfies ToWorkers);
+      return (await answer).summary;
+    }),
+  );
   const total = (of: (summary: WorkersSummary) => number) => summaries.reduce((sum, summary) => sum + of(summary), 0);
-  const statuses = new Map<number, number>();
-  for (const { byStatus } of summaries)
-    for (const [status, count] of byStatus) statuses.set(status, (statuses.get(status) ?? 0) + count);
-  const releases = new Map<string, number>();
-  for (const { msg, reason, machine } of controller.log)
-    if (msg === 'releasing machine' && !deadNames.has(String(machine)))
-      releases.set(String(reason), (releases.get(String(reason)) ?? 0) + 1);
-  // What the releases of healthy machines rested on, where the log says so.
-  const evidence = controller.log
-    .filter(({ msg, machine }) => msg === 'releasing machine' && !deadNames.has(String(machine)))
-    .map(({ contactAgeS, readableS, unanswered }) => ({ contactAgeS, readableS, unanswered }));
-  const received = controller.log
+  const answers: Record<string, number> = {};
+  for (const [status, count] of summaries.flatMap(({ byStatus }) => byStatus)) answers[status] = (answers[status] ?? 0) + count;
+  return {
+    heartbeatsSent: total(({ sent }) => sent),
+    answers,
+    noAnswerIn4S: total(({ timedOut }) => timedOut),
+    connectionFailed: total(({ connectionFailed }) => connectionFailed),
+    workersWhoseLeaseRanOut: total(({ leasesOver }) => leasesOver),
+  };
+}
+
+/** What the controller did, by its log. */
+function controllerFigures({ log, ended }: ControllerProcess, deadNames: ReadonlySet<string>): Record<string, unknown> {
+  const releases: Record<string, number> = {};
+  const ofHealthy = log.filter(({ msg, machine }) => msg === 'releasing machine' && !deadNames.has(String(machine)));
+  for (const { reason } of ofHealthy) releases[String(reason)] = (releases[String(reason)] ?? 0) + 1;
+  const evidence = ofHealthy.map(({ contactAgeS, readableS, unanswered }) => ({ contactAgeS, readableS, unanswered }));
+  const heartbeatsReceived = log
     .filter(({ msg }) => msg === 'process')
     .reduce((sum, { heartbeats }) => sum + Number(heartbeats), 0);
-  const pauses = controller.log.filter(({ msg }) => msg === 'process paused').length;
-  const delays = [...deadNames].flatMap((name) => (returnedAt.has(name) ? [(returnedAt.get(name) as number) - diedAt] : []));
-  delays.sort((a, b) => a - b);
-  console.log(
-    JSON.stringify({
-      side,
-      stoppedMs,
-      periodMs,
-      machines,
-      reportS,
-      seconds,
-      sockets,
-      ended: controller.ended,
-      healthyReleased: [...cloud.returned].filter((name) => !deadNames.has(name)).length,
-      releases: Object.fromEntries(releases),
-      evidence: evidence.slice(0, MAX_EVIDENCE),
-      dead: deadNames.size,
-      deadReleased: delays.length,
-      deadReleaseMs: [percentile(delays, 0), percentile(delays, 0.5), percentile(delays, 1)],
-      heartbeatsSent: total(({ sent }) => sent),
-      heartbeatsReceived: received,
-      answers: Object.fromEntries(statuses),
-      noAnswerIn4S: total(({ timedOut }) => timedOut),
-      connectionFailed: total(({ connectionFailed }) => connectionFailed),
-      workersWhoseLeaseRanOut: total(({ leasesOver }) => leasesOver),
-      pausesLogged: pauses,
-      processorShare: Math.round(cpuMs / (seconds * 10)) / 100,
-    }),
-  );
+  const pausesLogged = log.filter(({ msg }) => msg === 'process paused').length;
+  return { ended, releases, evidence: evidence.slice(0, MAX_EVIDENCE), heartbeatsReceived, pausesLogged };
+}
+
+/** How long dead machines stayed: the shortest, the median and the longest time. */
+function deadFigures({ deadNames, returnedAt, diedAt }: Observation): Record<string, unknown> {
+  const delays = [...deadNames]
+    .flatMap((name) => returnedAt.get(name) ?? [])
+    .map((at) => at - (diedAt ?? at))
+    .sort((a, b) => a - b);
+  const deadReleaseMs = [delays[0], delays[Math.floor(delays.length / 2)], delays.at(-1)];
+  return { deadReleased: delays.length, deadReleaseMs };
+}
+
+async function play(run: Run): Promise<void> {
+  const processes = await startAll(run);
+  await sleep(UNDISTURBED_MS);
+  const observation = await disturb(run, processes);
+  await sleep(SETTLE_MS);
+  const { controller, cloud } = processes;
+  const figures = {
+    ...run,
+    healthyReleased: [...cloud.returned].filter((name) => !observation.deadNames.has(name)).length,
+    ...controllerFigures(controller, observation.deadNames),
+    ...deadFigures(observation),
+    ...(await workersFigures(processes)),
+    processorShare: Math.round(observation.processorMs / (run.seconds * 10)) / 100,
+  };
+  console.log(JSON.stringify(figures));
   process.exit(0);
 }
 
 const [role, options] = process.argv.slice(2);
-if (role === 'workers' && options !== undefined) await runWorkers(JSON.parse(options) as WorkersPart);
-else if (role === 'state' && options === '{}') await runState();
-else await play();
+if (role === WORKERS_ROLE) await runWorkers(JSON.parse(options ?? '{}') as WorkersPart);
+else if (role === STATE_ROLE) await runState();
+else await play(parseRun(process.argv.slice(2)));
