--- a/test/simulation/cluster.ts
+++ b/test/simulation/cluster.ts
@@ -92,6 +92,15 @@
     return this.byName.get(name);
   }
 
+  /** Starts another process with the name of a controller that runs. */
+  duplicate(name: string): SimulatedController {
+    const second = new SimulatedController(this, name);
+    // An incarnation of its own.
+    second.restart();
+    this.controllers.push(second);
+    return second;
+  }
+
   controller(name: string): SimulatedController {
     return this.controllers.find((node) => node.name === name) as SimulatedController;
   }
