Where a controller was behind for most of a silence, commands have to confirm it

Cause: moments in which hardly anybody was heard added up to the tolerated time. Nothing had asked these machines. Change: with more of the silence unread than read, three commands without an answer are needed, as beyond the limit. Not shown red by a test in simulated time.

--- a/packages/controller/src/shards/machine-silence.ts
+++ b/packages/controller/src/shards/machine-silence.ts
@@ -42,10 +42,15 @@
     return isBeyondForgiveness(machine, this.context, now);
   }
 
-  /** Is the machine's silence longer than is tolerated? */
+  /**
+   * Is the machine's silence longer than is tolerated? Where this controller was behind for most of it, the rest adds up from
+   * moments in which hardly anybody was heard, so commands without an answer have to confirm it.
+   */
   isBeyondTolerance(machine: Machine, now: Milliseconds): boolean {
-    if (this.silentMs(machine, now) > this.toleratedMs) return true;
-    return isUnanswering(machine) && this.isBeyondForgiveness(machine, now);
+    const silentMs = this.silentMs(machine, now);
+    if (silentMs > this.toleratedMs && this.localHealth.unreadMsSince(machine.tenure.lastContactAt) < silentMs) return true;
+    if (!isUnanswering(machine)) return false;
+    return silentMs > this.toleratedMs || this.isBeyondForgiveness(machine, now);
   }
 
   private get toleratedMs(): Milliseconds {
