--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -95,8 +95,8 @@
   }
 
   /**
-   * By how much this controller is behind at `now`: how late the timer of its tick was, or how long the oldest input has waited,
-   * whichever is longer. Silences don't count for that time.
+   * By how much this controller is behind at `now`: how late a timer fired, how long the oldest input has waited, or until when
+   * rejected workers come back, whichever is longest. Silences don't count for that time.
    */
   recordLag(lagMs: Milliseconds, now: Milliseconds): void {
     this.beginInput(now);
--- a/packages/controller/src/model/machine.ts
+++ b/packages/controller/src/model/machine.ts
@@ -93,8 +93,8 @@
   isReleasing = false;
 
   /**
-   * `lastHeartbeatAt`: silence counts from here; pauses of this process move it. `isUnverifiedTakeover`: the machine may run tasks that an earlier holder of
-   * the shard started and that aren't known here, until it is verified.
+   * `lastHeartbeatAt`: silence counts from here; pauses of this process move it. `isUnverifiedTakeover`: the machine may run tasks
+   * that an earlier holder of the shard started and that aren't known here, until it is verified.
    */
   constructor(
     public lastHeartbeatAt: Milliseconds,
--- a/packages/controller/src/shards/command-outcomes.ts
+++ b/packages/controller/src/shards/command-outcomes.ts
@@ -29,7 +29,8 @@
 /**
  * What became of a command. `ok`: it was carried out; `stale`: the worker rejected it, for its fencing token or for the agent's
  * epoch; `lost`: there was no answer, and it may be carried out yet; `refused`: the worker could not be connected to, so it
- * never left; `withheld`: this controller did not send it, since it was late itself. `heartbeat`: the worker's status; null: it could not be read.
+ * never left; `withheld`: this controller did not send it, since it was late itself. `heartbeat`: the worker's
+ * status; null: it could not be read.
  */
 export type CommandOutcome = { kind: 'ok' | 'stale'; heartbeat: Heartbeat | null } | { kind: 'lost' | 'refused' | 'withheld' };
 
--- a/test/lag-meter.test.ts
+++ b/test/lag-meter.test.ts
@@ -16,6 +16,10 @@
 
 const clock = () => Number(process.hrtime.bigint()) / 1e6;
 
+function newInbox(): Inbox {
+  return new Inbox({ clock, onTurnEnd: () => {}, maxClientRequestAgeMs: 1000, onError: (error) => assert.fail(String(error)) });
+}
+
 /** Keeps the process from doing anything else. */
 function block(): void {
   const until = clock() + BLOCKED_MS;
@@ -23,12 +27,7 @@
 }
 
 test('the time that ticks take, and that inputs wait behind them, is measured as lag', async (context) => {
-  const inbox = new Inbox({
-    clock,
-    onTurnEnd: () => {},
-    maxClientRequestAgeMs: 1000,
-    onError: (error) => assert.fail(String(error)),
-  });
+  const inbox = newInbox();
   const lags: number[] = [];
   const controller = { recordLag: (lagMs: number) => lags.push(lagMs), tick: block };
   const meter = new LagMeter({ controller, inbox, connections: { rejectedTotal: 0 } });
@@ -46,12 +45,7 @@
 });
 
 test('rejected connections are a lag until their workers come back, and only while there are new ones', async (context) => {
-  const inbox = new Inbox({
-    clock,
-    onTurnEnd: () => {},
-    maxClientRequestAgeMs: 1000,
-    onError: (error) => assert.fail(String(error)),
-  });
+  const inbox = newInbox();
   const lags: number[] = [];
   const connections = { rejectedTotal: 3 };
   const meter = new LagMeter({ controller: { recordLag: (lagMs) => lags.push(lagMs) }, inbox, connections });
--- a/test/late-requests.test.ts
+++ b/test/late-requests.test.ts
@@ -1,7 +1,7 @@
 // Requests of a process that is late itself: what it did not read in time is not held against the other side.
 //
 // What happened: a controller that ran for 20 ms of each 0.8 s released 111 of 600 healthy machines (tools/measure.mjs starvation
-// controller 780 800 600 2 60 1010 20, beside other load), each after three commands in a row without an answer.
+// controller 780 800 600 2 60 1010 20, beside other load). What those releases rested on was not recorded, so that this is suspected to be the cause, not shown.
 // Why: a connection that the worker had accepted, but that this process saw only after its timeout, counted as refused by the
 // worker; a request that left just before its timeout counted as unanswered at once; and a late timer's moment of grace was over
 // before sockets were read, since timers come first in a turn of the event loop.
--- a/test/starved-controller.test.ts
+++ b/test/starved-controller.test.ts
@@ -5,8 +5,8 @@
 // a machine that was really dead was never released.
 // Why: the age of a machine's last heartbeat counted in full, though the heartbeats that would have shown it to be alive were
 // waiting for this controller to read them. Only one gap of 0.8 s or more was forgiven, and those without any limit.
-// What showed it: in these runs the machines' heartbeats were in the controller's own queue when it logged `releasing machine`
-// with the reason `silent`; each gap of 0.8 s or more moved the age of every silence, so that it grew by 0.1 s a second.
+// What showed it: with the budget of 30 a second 541 to 1,641 heartbeats waited in the controller's own queue; with gaps of a
+// second the age of a dead machine's last heartbeat stayed below a second for 96 s (both trials on the way to the mend).
 
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
