--- a/review/lib/cluster.mjs
+++ b/review/lib/cluster.mjs
@@ -57,15 +57,20 @@
   },
 };
 
-export function freePort(host = HOST) {
-  return new Promise((resolve, reject) => {
-    const probe = net.createServer();
-    probe.once('error', reject);
-    probe.listen(0, host, () => {
-      const { port } = probe.address();
-      probe.close(() => resolve(port));
+/** Ports below those that the system gives to outgoing connections, so that a restarted process finds its port free. */
+const PORTS = { from: 20_000, to: 32_000 };
+
+export async function freePort(host = HOST) {
+  for (let attempt = 0; attempt < 200; attempt++) {
+    const port = PORTS.from + Math.floor(Math.random() * (PORTS.to - PORTS.from));
+    const isFree = await new Promise((resolve) => {
+      const probe = net.createServer();
+      probe.once('error', () => resolve(false));
+      probe.listen(port, host, () => probe.close(() => resolve(true)));
     });
-  });
+    if (isFree) return port;
+  }
+  throw new Error('no free port');
 }
 
 const decimal = (value) => (Number.isInteger(value) ? `${value}.0` : String(value));
