review: no process outlives its case

Cause: an error outside the case's own steps would have left controllers behind. Change: all controllers are killed when the script ends, however it ends.

--- a/review/lib/cluster.mjs
+++ b/review/lib/cluster.mjs
@@ -327,6 +327,11 @@
   };
   const limit = setTimeout(() => end(2, 'the case could not run: out of time'), limitMs);
   for (const signal of ['SIGINT', 'SIGTERM']) process.once(signal, () => end(2, `the case could not run: ${signal}`));
+  process.once('uncaughtException', (error) => end(2, `the case could not run: ${error.message}`));
+  // Whatever happens, no process of the case outlives it.
+  process.once('exit', () => {
+    for (const { child } of cluster.controllers) child?.kill('SIGKILL');
+  });
   try {
     const broken = await play();
     clearTimeout(limit);
