--- a/review/lib/cluster.mjs
+++ b/review/lib/cluster.mjs
@@ -210,6 +210,8 @@
       types: site.types,
       reportS: site.workers.reportS,
       leaseS: site.workers.leaseS,
+      gangWaitS: site.workers.gangWaitS,
+      gangPeerS: site.workers.gangPeerS,
       record,
       host: HOST,
     });
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -222,8 +222,9 @@
     const begin = () => {
       if (task.status !== 'fetching') return;
       this.images.add(job.bundle);
-      task.status = 'running';
       this.fleet.enter(task, this);
+      if (job.shape === 'gang') return this.gather(task);
+      task.status = 'running';
       const { ms, cause } = this.fleet.runOf(task, this);
       if (Number.isFinite(ms)) task.timers.push(setTimeout(() => this.endTask(task, cause ?? 'done'), ms));
       this.changed();
@@ -232,6 +233,30 @@
     else begin();
   }
 
+  /** A task of a gang waits for the others of its attempt; when the last one is there, they start together. */
+  gather(task) {
+    task.status = 'gathering';
+    task.worker = this;
+    const others = this.fleet.gangOf(task);
+    others.add(task);
+    task.timers.push(setTimeout(() => task.status === 'gathering' && this.endTask(task, 'incomplete'), this.fleet.gangWaitS * 1000));
+    if (others.size === task.job.pieces && [...others].every(({ status }) => status === 'gathering')) this.runGang(task, others);
+    this.changed();
+  }
+
+  runGang(last, gang) {
+    for (const task of gang) {
+      task.status = 'running';
+      task.worker.changed();
+    }
+    const { ms, cause } = this.fleet.runOf(last, this);
+    if (!Number.isFinite(ms)) return;
+    setTimeout(() => {
+      const isWhole = gang.size === last.job.pieces && [...gang].every(({ status }) => status === 'running');
+      if (isWhole) for (const task of [...gang]) task.worker.endTask(task, cause ?? 'done');
+    }, ms);
+  }
+
   hasRoom(task) {
     const { cores, memory_gb: memory, accelerators } = this.fleet.typeOf(this.build);
     const free = { cores: cores + 1e-6, memory: memory + 1e-6, accelerators: (accelerators ?? 0) + 1e-6 };
@@ -261,7 +286,19 @@
 
   leave(task, why) {
     for (const timer of task.timers) clearTimeout(timer);
-    if (task.status === 'running') this.fleet.leave(task, this, why);
+    if (task.status !== 'running' && task.status !== 'gathering') return;
+    this.fleet.leave(task, this, why);
+    if (task.job.shape === 'gang') this.leaveGang(task, why);
+  }
+
+  /** The other tasks of a running gang notice that one is gone, and exit. */
+  leaveGang(task, why) {
+    const gang = this.fleet.gangOf(task);
+    gang.delete(task);
+    if (task.status !== 'running' || why === 'done') return;
+    setTimeout(() => {
+      for (const other of [...gang]) if (other.status === 'running') other.worker.endTask(other, 'peers');
+    }, this.fleet.gangPeerS * 500);
   }
 }
 
@@ -279,8 +316,17 @@
   ranTwice = [];
   starts = [];
 
-  constructor({ nodes, types, reportS, leaseS, record, host }) {
-    Object.assign(this, { nodes, types, reportS, leaseS, record, host });
+  /** by job and attempt: the tasks of a gang that are on machines */
+  gangs = new Map();
+
+  constructor({ nodes, types, reportS, leaseS, gangWaitS, gangPeerS, record, host }) {
+    Object.assign(this, { nodes, types, reportS, leaseS, gangWaitS, gangPeerS, record, host });
+  }
+
+  gangOf({ job, try: attempt }) {
+    const key = `${job.ref}#${attempt}`;
+    if (!this.gangs.has(key)) this.gangs.set(key, new Set());
+    return this.gangs.get(key);
   }
 
   typeOf(name) {
