--- a/review/lib/cluster.mjs
+++ b/review/lib/cluster.mjs
@@ -60,15 +60,20 @@
 /** Ports below those that the system gives to outgoing connections, so that a restarted process finds its port free. */
 const PORTS = { from: 20_000, to: 32_000 };
 
+const takenPorts = new Set();
+
 export async function freePort(host = HOST) {
   for (let attempt = 0; attempt < 200; attempt++) {
     const port = PORTS.from + Math.floor(Math.random() * (PORTS.to - PORTS.from));
+    if (takenPorts.has(port)) continue;
     const isFree = await new Promise((resolve) => {
       const probe = net.createServer();
       probe.once('error', () => resolve(false));
       probe.listen(port, host, () => probe.close(() => resolve(true)));
     });
-    if (isFree) return port;
+    if (!isFree) continue;
+    takenPorts.add(port);
+    return port;
   }
   throw new Error('no free port');
 }
--- a/review/lib/state-service.mjs
+++ b/review/lib/state-service.mjs
@@ -15,6 +15,11 @@
   leases = new Map();
   nextLease = 1;
   watchers = new Set();
+  /** revisions after which the open watches wait */
+  waiting = new Map();
+  nextWatch = 1;
+  /** number of times that changes were asked for that are not kept any more */
+  tooOld = 0;
   /** (request) => answer, promise of one, or undefined: served as usual */
   gate = null;
   /** called with each applied change */
@@ -146,7 +151,7 @@
     const starts = query.get('starts') ?? '';
     const since = query.get('since') ?? '';
     const most = Math.min(MAX_ITEMS, Number(query.get('most') ?? MAX_ITEMS));
-    const names = [...this.keys.keys()].filter((k) => k.startsWith(starts) && k > since).sort();
+    const names = this.namesAfter(starts, since);
     const rows = [];
     let bytes = 0;
     for (const k of names) {
@@ -158,6 +163,27 @@
     return { status: 200, body: { rows, has_next: rows.length < names.length, ledger: this.ledger } };
   }
 
+  /** The names with the prefix that follow `since`, sorted. The whole order is kept until a key comes or goes. */
+  namesAfter(starts, since) {
+    if (this.sortedAt !== `${this.ledger}/${this.keys.size}`) {
+      this.sorted = [...this.keys.keys()].sort();
+      this.sortedAt = `${this.ledger}/${this.keys.size}`;
+    }
+    let low = 0;
+    let high = this.sorted.length;
+    while (low < high) {
+      const middle = (low + high) >> 1;
+      if (this.sorted[middle] > since) high = middle;
+      else low = middle + 1;
+    }
+    return this.sorted.slice(low).filter((k) => k.startsWith(starts));
+  }
+
+  /** How many open watches have been told of all changes. */
+  watchesUpToDate() {
+    return [...this.waiting.values()].filter((since) => since >= this.ledger).length;
+  }
+
   changesAfter(since, starts) {
     return this.log.filter(({ write, remove, stamp }) => stamp > since && (write ?? remove).startsWith(starts));
   }
@@ -167,8 +193,16 @@
     const starts = query.get('starts') ?? '';
     const until = Date.now() + Math.min(60_000, Number(query.get('wait_ms') ?? 0));
     const isLost = () => (this.log[0]?.stamp ?? 0) > since + 1 && this.ledger > since && this.log.length >= KEPT_CHANGES;
-    if (isLost()) return { status: 410, body: {} };
-    while (this.changesAfter(since, starts).length === 0 && Date.now() < until) await this.nextChange(until - Date.now());
+    if (isLost()) {
+      this.tooOld++;
+      return { status: 410, body: {} };
+    }
+    const watch = this.nextWatch++;
+    while (this.changesAfter(since, starts).length === 0 && Date.now() < until) {
+      this.waiting.set(watch, since);
+      await this.nextChange(until - Date.now());
+    }
+    this.waiting.delete(watch);
     return { status: 200, body: { ledger: this.ledger, log: this.changesAfter(since, starts) } };
   }
 
