Workers forget an attempt only under a higher fencing token than that of its start

It had been stopped on machine A and forgotten there, ran on B, and a repeat of the request that had started it on A started it again.

Cause: the command to forget ("clear") went out under the same fencing token as the start.

Change: an allocation keeps the token of its start, a tenure that of the machine's last start. An exited task is forgotten only under a higher token. Where a stopped or failed task has to start elsewhere, the assignment is rewritten while the task still stops, so that the token is there when it has exited; commands go on meanwhile. Tasks that never start again (done and stored, or of a finished job) are no longer forgotten one by one: the worker keeps them until its token has risen for another reason or there are 32, and then one low-priority write serves all. A machine may move to another shard with exited tasks, as the move raises the token. A task that is missing although it was not forgotten (its agent restarted) is freed only once the machine has answered under a higher token.

Why this works: at any time, for each start that a worker executed, the worker still lists the attempt (the repeat has no effect), or has a higher token or session (the repeat is rejected). Nothing of that depends on who repeats it or how late.

Tests: test/repeated-commands.test.ts repeats every executed start at each step.

--- a/packages/controller/src/allocation/machine-schedulability.ts
+++ b/packages/controller/src/allocation/machine-schedulability.ts
@@ -4,7 +4,9 @@
  */
 import type { SettingsView } from '../context/index.js';
 import type { Machine, Milliseconds } from '../model/index.js';
+import { hasTooManyExitedOrphans } from './exited-tasks.js';
 import type { FailureAttribution } from './failure-attribution.js';
+import { hasOrphanedWork } from './machine-work.js';
 
 /** Maximum age of the last heartbeat, in milliseconds per second of the heartbeat interval: two and a half intervals. */
 const MAX_HEARTBEAT_AGE_MS_PER_INTERVAL_S = 2500;
@@ -48,6 +50,7 @@
       !this.failureAttribution.isAttributionPending(machine, now) &&
       tenure.unansweredCommands === 0 &&
       !hasOrphanedWork(machine) &&
+      !hasTooManyExitedOrphans(machine) &&
       now - tenure.lastHeartbeatAt < maxHeartbeatAgeMs
     );
   }
@@ -57,8 +60,3 @@
 function isLeaving({ moveToShard, isRetired, tenure }: Machine): boolean {
   return moveToShard !== null || isRetired || tenure.releaseReason !== null || tenure.preemptionNoticeUntil !== null;
 }
-
-/** Whether tasks without an allocation run on the machine: the resources that they use are unknown. */
-function hasOrphanedWork({ tenure }: Machine): boolean {
-  return tenure.orphanedTasks.some((task) => task.state !== 'exited');
-}
--- a/packages/controller/src/allocation/task-allocations.ts
+++ b/packages/controller/src/allocation/task-allocations.ts
@@ -12,6 +12,7 @@
   StateFreshness,
 } from '../context/index.js';
 import { type Allocation, type Job, type Machine, type Milliseconds, NEVER } from '../model/index.js';
+import { isFinished } from './exited-tasks.js';
 import { FailureAttribution } from './failure-attribution.js';
 import { HeldShards } from './held-shards.js';
 import { MachineSchedulability } from './machine-schedulability.js';
@@ -103,6 +104,7 @@
       taskIndex,
       attempt,
       machine,
+      startToken: machine.tenure.lastStartToken,
       phase,
       status: null,
       plannedAt,
@@ -128,6 +130,25 @@
     this.schedulingRequested = true;
   }
 
+  /**
+   * Frees the exited tasks on the machine that never start again. Their worker may report them until it has a higher fencing
+   * token.
+   */
+  freeFinished(machine: Machine): void {
+    for (const allocation of [...machine.tenure.allocations.values()])
+      if (allocation.phase === 'exited' && isFinished(allocation)) this.free(allocation);
+  }
+
+  /**
+   * Keeps an allocation whose task is missing on its machine although it was not forgotten. A repeat of its start could run it
+   * again, so it is freed only once the machine has responded under a higher fencing token.
+   */
+  keepUntilTokenRaised(allocation: Allocation): void {
+    allocation.phase = 'sent';
+    allocation.machine.tenure.hasUncertainCommand = true;
+    allocation.machine.allocationsChanged();
+  }
+
   private removeFromMachine(allocation: Allocation): void {
     const { machine } = allocation;
     machine.tenure.allocations.delete(taskKeyOf(allocation));
--- a/packages/controller/src/heartbeats/heartbeat-reconciler.ts
+++ b/packages/controller/src/heartbeats/heartbeat-reconciler.ts
@@ -6,7 +6,7 @@
  * tasks.
  */
 import type { Heartbeat, TaskStatus, UnchangedHeartbeat } from '@archpost/protocol';
-import { type TaskAllocations, taskKey } from '../allocation/index.js';
+import { hasOrphanedWork, mayForget, type TaskAllocations, taskKey } from '../allocation/index.js';
 import type { ClusterStateView, Logger, ReplicaView, SettingsView } from '../context/index.js';
 import {
   CANCELLED_WORK_PRIORITY,
@@ -114,13 +114,18 @@
     return jobs.get(jobId)?.priority ?? NO_REPORTED_PRIORITY;
   }
 
-  /** Handles a restart of the agent: none of its earlier tasks exists any longer, and its epoch and sequence start again. */
+  /**
+   * Handles a restart of the agent: none of its earlier tasks exists any longer, and its epoch and sequence start again. It has
+   * forgotten the attempts, so repeats of their starts could run them again until the fencing token was raised.
+   */
   private resetEpoch(machine: Machine): void {
+    const { tenure } = machine;
     this.context.log('info', 'worker agent restarted', { machine: machine.name });
-    for (const allocation of [...machine.tenure.allocations.values()])
-      if (allocation.phase !== 'planned') this.allocations.free(allocation);
-    machine.tenure.agentEpoch = UNKNOWN_EPOCH;
-    machine.tenure.sequence = NO_SEQUENCE;
+    for (const allocation of tenure.allocations.values())
+      if (allocation.phase !== 'planned') this.allocations.keepUntilTokenRaised(allocation);
+    if (tenure.lastStartToken === this.context.clusterState.fencingToken(machine)) tenure.hasUncertainCommand = true;
+    tenure.agentEpoch = UNKNOWN_EPOCH;
+    tenure.sequence = NO_SEQUENCE;
   }
 
   private accept(machine: Machine, heartbeat: Heartbeat, now: Milliseconds, isCommandResponse: boolean): void {
@@ -174,6 +179,7 @@
   private reconcileTasks(machine: Machine, tasks: readonly TaskStatus[], now: Milliseconds): ReadonlySet<string> {
     const { tenure } = machine;
     const reportedKeys = new Set<string>();
+    const previousOrphanCount = tenure.orphanedTasks.length;
     tenure.orphanedTasks = [];
     for (const task of tasks) {
       const key = taskKey(task.job, task.index, task.attempt);
@@ -184,21 +190,23 @@
         continue;
       }
       tenure.orphanedTasks.push(task);
-      machine.allocationsChanged();
     }
+    if (tenure.orphanedTasks.length !== previousOrphanCount || hasOrphanedWork(machine)) machine.allocationsChanged();
     return reportedKeys;
   }
 
   /**
-   * Frees allocations that the worker no longer reports. A running task never disappears from the heartbeats of its epoch by
-   * itself. If it is missing, the agent restarted or the heartbeat is a copy of an older one, and only a command response shows
-   * which.
+   * Frees allocations of exited tasks that the worker has forgotten. A running task never disappears from the heartbeats of its
+   * epoch by itself. If it is missing, the agent restarted or the heartbeat is a copy of an older one, and only a command response
+   * shows which.
    */
   private freeMissing(machine: Machine, reportedKeys: ReadonlySet<string>, now: Milliseconds, isCommandResponse: boolean): void {
+    const fencingToken = this.context.clusterState.fencingToken(machine);
     for (const [key, allocation] of [...machine.tenure.allocations]) {
       if (reportedKeys.has(key) || allocation.phase === 'planned' || allocation.phase === 'sent') continue;
       if (!isCommandResponse && allocation.phase === 'reported') this.requestProbe(machine, now);
-      else this.allocations.free(allocation);
+      else if (allocation.phase === 'exited' && mayForget(allocation, fencingToken)) this.allocations.free(allocation);
+      else this.allocations.keepUntilTokenRaised(allocation);
     }
   }
 }
--- a/packages/controller/src/heartbeats/task-reconciler.ts
+++ b/packages/controller/src/heartbeats/task-reconciler.ts
@@ -32,9 +32,11 @@
 
   /**
    * Allocates a reported task that has no allocation on the machine: an earlier holder of the shard started it. Null: the task is
-   * orphaned, since its job is unknown, belongs to another shard, has fewer tasks, or has the task allocated elsewhere.
+   * orphaned, since it has exited and never starts again, its job is unknown, belongs to another shard, has fewer tasks, or has the
+   * task allocated elsewhere.
    */
   adopt(machine: Machine, task: TaskStatus, now: Milliseconds): Allocation | null {
+    if (task.state === 'exited' && this.context.clusterState.isTaskFinished(task.job, task.index)) return null;
     const job = this.context.clusterState.restoreJob(task.job, this.context.replica.get(StateKey.job(task.job)), now);
     if (!job || job.shard !== machine.shard || task.index >= job.spec.tasks) return null;
     const allocated = job.tenure.allocations.get(task.index);
--- a/packages/controller/src/model/job.ts
+++ b/packages/controller/src/model/job.ts
@@ -15,17 +15,25 @@
 
 /**
  * The phase of an allocation. `planned`: resources are reserved, no command was sent. `sent`: the start command was sent and may
- * have been executed. `reported`: the machine reports the task. `exited`: the task has ended, and the worker has not been
- * commanded to forget it yet.
+ * have been executed. `reported`: the machine reports the task. `exited`: the task has ended, and the worker has not forgotten
+ * it yet.
  */
 export type AllocationPhase = 'planned' | 'sent' | 'reported' | 'exited';
 
-/** The assignment of one task to one machine, from the scheduling decision until the machine has forgotten the task. */
+/**
+ * The assignment of one task to one machine, from the scheduling decision until the machine has forgotten the task or the task is
+ * finished.
+ */
 export interface Allocation {
   job: Job;
   taskIndex: number;
   attempt: number;
   machine: Machine;
+  /**
+   * no start of the attempt was sent under a higher fencing token than this: the token of its start or, if another lease holder
+   * sent that, of the machine's last start in this tenure
+   */
+  startToken: number;
   phase: AllocationPhase;
   /** the status that the machine reported last; null: not reported yet */
   status: TaskStatus | null;
--- a/packages/controller/src/model/machine.ts
+++ b/packages/controller/src/model/machine.ts
@@ -16,6 +16,15 @@
 /** The sequence number before the first heartbeat of an agent epoch; actual sequence numbers are larger. */
 export const NO_SEQUENCE = -1;
 
+/** The fencing token of the last start on a machine that was sent none in its tenure; actual tokens are larger. */
+export const NO_START_TOKEN = 0;
+
+/**
+ * Why the machine's fencing token should rise although no command is uncertain: the worker has exited tasks that it may forget
+ * only under a higher token. `prompt`: some of them can't start elsewhere before. `background`: there are many.
+ */
+export type TokenRaise = 'none' | 'background' | 'prompt';
+
 /** The position of a heartbeat among all heartbeats of its worker. */
 export interface HeartbeatPosition {
   /** increases each time that the worker's agent starts over: when it restarts, and when its lease expires */
@@ -75,7 +84,7 @@
   unansweredSince: Milliseconds | null = null;
   /** spot machines only: when the cloud preempts the machine; null: no notice */
   preemptionNoticeUntil: Milliseconds | null = null;
-  /** tasks in its last heartbeat that belong to no allocation */
+  /** tasks in its last heartbeat that belong to no allocation, among them exited tasks that are finished */
   orphanedTasks: TaskStatus[] = [];
 
   // ---- intended
@@ -90,6 +99,10 @@
   hasUncertainCommand = false;
   /** a rewrite of its assignment, which raises the token, is queued */
   isRaisingToken = false;
+  /** fencing token of the last start that was sent to it in this tenure */
+  lastStartToken = NO_START_TOKEN;
+  /** as of the last time that commands for the machine were composed */
+  tokenRaise: TokenRaise = 'none';
   /** why the machine is to be released; null: it isn't */
   releaseReason: ReleaseReason | null = null;
   /** the release was requested from the cloud, or has been completed */
--- a/packages/controller/src/shards/assignment-updates.ts
+++ b/packages/controller/src/shards/assignment-updates.ts
@@ -3,19 +3,27 @@
  * fencing tokens, and removals. Each write is conditional on the lease of the shard. Owns no state except the flags in the
  * machine that mark a queued write.
  */
-import { hasCancelledWork, type TaskAllocations } from '../allocation/index.js';
+import { hasCancelledWork, hasTooManyExitedOrphans, type TaskAllocations } from '../allocation/index.js';
 import type { ClusterStateView, Logger, ReplicaView, StateWriting } from '../context/index.js';
 import type { Machine } from '../model/index.js';
-import { encodeAssignment, StateKey, WritePriority } from '../state/index.js';
+import { encodeAssignment, type PendingWrite, StateKey, WritePriority } from '../state/index.js';
 
 /** If the image cache record of a removed machine isn't deleted within this time, it stays: nothing depends on its removal. */
 const IMAGE_REMOVAL_TIMEOUT_MS = 15_000;
 
+/**
+ * Maximum number of queued rewrites that only let workers forget finished tasks. Other writes must not wait behind one for each
+ * machine.
+ */
+const MAX_BACKGROUND_RAISES = 4;
+
 /** The parts of the controller's context that `AssignmentUpdates` uses. */
 type AssignmentUpdatesContext = ClusterStateView & ReplicaView & StateWriting & Logger;
 
 /** Writes assignments. Apart from removals, at most one such write is queued per machine. */
 export class AssignmentUpdates {
+  private queuedBackgroundRaises = 0;
+
   constructor(
     private readonly context: AssignmentUpdatesContext,
     private readonly allocations: TaskAllocations,
@@ -47,25 +55,56 @@
    */
   raiseFencingToken(machine: Machine): void {
     if (machine.assignmentWriteQueued) return;
-    machine.tenure.isRaisingToken = true;
+    const { tenure } = machine;
+    tenure.isRaisingToken = true;
+    this.rewriteAssignment(machine, {
+      priority: WritePriority.release,
+      // Until this is stored, no command is sent to the machine, and therefore no stop of its cancelled work.
+      isUrgent: () => hasCancelledWork(machine),
+      onOutcome: (outcome) => {
+        tenure.isRaisingToken = false;
+        if (outcome === 'ok') tenure.recordTokenRaised();
+      },
+    });
+  }
+
+  /**
+   * Raises the machine's fencing token so that its worker may forget exited tasks: from then on it rejects repeats of their
+   * starts. What is on the machine is known, so it remains verified, and commands are sent to it meanwhile.
+   */
+  raiseTokenToForget(machine: Machine): void {
+    const { tenure } = machine;
+    const isBackground = tenure.tokenRaise === 'background';
+    if (machine.assignmentWriteQueued || (isBackground && this.queuedBackgroundRaises >= MAX_BACKGROUND_RAISES)) return;
+    if (isBackground) this.queuedBackgroundRaises++;
+    this.rewriteAssignment(machine, {
+      priority: isBackground ? WritePriority.images : WritePriority.release,
+      // No other write of the assignment is queued meanwhile: a move, or a higher token after an uncertain command.
+      isUrgent: () => isBackground && isAssignmentWriteDue(machine),
+      onOutcome: () => {
+        if (isBackground) this.queuedBackgroundRaises--;
+        tenure.tokenRaise = 'none';
+        machine.commandsDue = true;
+      },
+    });
+  }
+
+  /** Writes the unchanged assignment again, under a new revision. */
+  private rewriteAssignment(machine: Machine, write: Pick<PendingWrite, 'priority' | 'isUrgent' | 'onOutcome'>): void {
     machine.assignmentWriteQueued = true;
     const previousRevision = machine.assignmentRevision;
     this.context.writer.add({
+      ...write,
       key: StateKey.assignment(machine.name),
       value: () => {
         const { moveToShard, isRetired } = machine;
         return encodeAssignment({ ...this.context.clusterState.assignmentOf(machine), moveToShard, isRetired }, previousRevision);
       },
-      expectedRevision: machine.assignmentRevision,
+      expectedRevision: previousRevision,
       conditions: this.allocations.heldShards.leaseConditions(machine.shard),
-      priority: WritePriority.release,
-      // Until this is stored, no command is sent to the machine, and therefore no stop of its cancelled work.
-      isUrgent: () => hasCancelledWork(machine),
       onOutcome: (outcome) => {
         machine.assignmentWriteQueued = false;
-        machine.tenure.isRaisingToken = false;
-        if (outcome !== 'ok') return;
-        machine.tenure.recordTokenRaised();
+        write.onOutcome(outcome);
       },
     });
   }
@@ -106,3 +145,8 @@
     return this.context.clusterState.machines.get(machine.name) === machine && this.allocations.heldShards.has(machine.shard);
   }
 }
+
+/** Whether another write of the machine's assignment waits for the queued one, or the machine takes no starts until then. */
+function isAssignmentWriteDue(machine: Machine): boolean {
+  return machine.tenure.hasUncertainCommand || machine.moveToShard !== null || hasTooManyExitedOrphans(machine);
+}
--- a/packages/controller/src/shards/command-dispatcher.ts
+++ b/packages/controller/src/shards/command-dispatcher.ts
@@ -8,7 +8,7 @@
 import { type Allocation, type Machine, type Milliseconds, UNKNOWN_EPOCH } from '../model/index.js';
 import { type CommandOutcome, CommandOutcomes, type PendingCommand } from './command-outcomes.js';
 import type { HeartbeatReconciliation } from './heartbeat-reconciliation.js';
-import { composeCommands, hasCommandsDue } from './machine-commands.js';
+import { composeCommands, hasCommandsDue, tokenRaiseToForget } from './machine-commands.js';
 import { mayCommand, needsProbe, selectForProbing } from './probe-selection.js';
 import type { WorkerResponses } from './worker-responses.js';
 
@@ -65,9 +65,11 @@
 
   private dispatch(machine: Machine, now: Milliseconds): void {
     if (!machine.commandsDue) return;
-    const due = composeCommands(this.allocations, machine, now);
+    this.allocations.freeFinished(machine);
+    const due = composeCommands(this.context, this.allocations, machine, now);
     if (due) this.send(machine, due.commands, due.starts, false);
-    machine.commandsDue = hasCommandsDue(machine);
+    machine.commandsDue = hasCommandsDue(this.context, machine);
+    machine.tenure.tokenRaise = tokenRaiseToForget(this.context, machine);
   }
 
   private probe(machine: Machine, now: Milliseconds): void {
@@ -84,8 +86,13 @@
   private send(machine: Machine, commands: Command[], starts: readonly Allocation[], isProbe: boolean): void {
     const { tenure } = machine;
     const id = this.context.nextEffectId();
+    const fencingToken = this.context.clusterState.fencingToken(machine);
     // Set before the effect is emitted: from now on the tasks may be on the machine.
-    for (const allocation of starts) allocation.phase = 'sent';
+    for (const allocation of starts) {
+      allocation.phase = 'sent';
+      allocation.startToken = fencingToken;
+    }
+    if (starts.length > 0) tenure.lastStartToken = fencingToken;
     tenure.pendingCommandId = id;
     machine.lastCommandAt = this.allocations.now;
     machine.probeRequested = false;
@@ -96,7 +103,7 @@
       id,
       machine: machine.name,
       address: machine.address,
-      fencingToken: this.context.clusterState.fencingToken(machine),
+      fencingToken,
       agentEpoch: tenure.agentEpoch > UNKNOWN_EPOCH ? tenure.agentEpoch : FIRST_EPOCH,
       commands,
     });
--- a/packages/controller/src/shards/command-outcomes.ts
+++ b/packages/controller/src/shards/command-outcomes.ts
@@ -75,9 +75,10 @@
     }
     this.recordResponse(machine, now);
     this.reconciler.reconcile(machine, heartbeat, now, positionAtSend);
-    // A task that was started but is missing from the status has already ended.
-    for (const allocation of starts) if (this.allocations.isStartPending(allocation)) this.allocations.free(allocation);
-    if (isProbe && !machine.tenure.isVerified) this.recordVerified(machine);
+    // A task that was started but is missing from the status has already ended, and a repeat of its start could run it again.
+    for (const allocation of starts)
+      if (this.allocations.isStartPending(allocation)) this.allocations.keepUntilTokenRaised(allocation);
+    if (isProbe && !machine.tenure.isVerified && !machine.tenure.hasUncertainCommand) this.recordVerified(machine);
   }
 
   /**
--- a/packages/controller/src/shards/machine-commands.ts
+++ b/packages/controller/src/shards/machine-commands.ts
@@ -3,7 +3,16 @@
  * Changes only the times at which stops were sent; owns no state.
  */
 import { type Command, MAX_COMMANDS_PER_BODY } from '@archpost/protocol';
-import type { TaskAllocations } from '../allocation/index.js';
+import {
+  hasOrphanedWork,
+  hasUnfinishedOrphan,
+  isFinished,
+  isResultUnstored,
+  mayForget,
+  mayForgetOrphans,
+  type TaskAllocations,
+} from '../allocation/index.js';
+import type { ClusterStateView } from '../context/index.js';
 import {
   type Allocation,
   capacityOf,
@@ -13,6 +22,7 @@
   type Milliseconds,
   type Resources,
   subtract,
+  type TokenRaise,
 } from '../model/index.js';
 import { clearOrphanedTask, forgetCommand, startCommand, stopCommand } from './task-commands.js';
 
@@ -25,8 +35,11 @@
 /** Minimum interval between messages to a machine whose starts all have the lowest priority. */
 const LOW_PRIORITY_START_INTERVAL_MS = 1000;
 
-/** Minimum interval between messages that only have a machine forget tasks, while it runs other tasks. */
-const FORGET_INTERVAL_MS = 3000;
+/**
+ * Finished tasks are forgotten with the next start or stop, or once the worker reports this many of them. Each takes about 40
+ * bytes of every heartbeat, and a higher fencing token takes a write.
+ */
+const MAX_FINISHED_TASKS = 32;
 
 const NO_RESOURCES: Readonly<Resources> = { cpus: 0, gpus: 0, memory: 0 };
 
@@ -41,33 +54,90 @@
  * Returns the commands that are due for the machine; null if there are none, or if all can wait to be sent with later ones. The
  * stops that it returns count as sent, so the caller must send them.
  */
-export function composeCommands(allocations: TaskAllocations, machine: Machine, now: Milliseconds): MachineCommands | null {
+export function composeCommands(
+  { clusterState }: ClusterStateView,
+  allocations: TaskAllocations,
+  machine: Machine,
+  now: Milliseconds,
+): MachineCommands | null {
   const free = capacityOf(machine);
-  const commands = machine.tenure.orphanedTasks.slice(0, MAX_COMMANDS_PER_BODY).map(clearOrphanedTask);
-  addStopsAndForgets(commands, machine, free, now);
+  const fencingToken = clusterState.fencingToken(machine);
+  const commands = orphanCommands(machine, fencingToken);
+  addStopsAndForgets(commands, machine, free, fencingToken, now);
   const starts = allocations.startFreshness.mayStart(now) ? addStarts(commands, allocations, machine, free) : [];
-  if (commands.length === 0 || canDefer(machine, commands, starts, now)) return null;
+  if (commands.length === 0) return null;
+  const areAllForgets = starts.length === 0 && commands.every(({ type }) => type === 'forget');
+  if (areAllForgets ? !areForgetsDue(clusterState, machine) : canDefer(machine, commands, starts, now)) return null;
   return { commands, starts };
 }
 
-/** Whether the machine has a task for which a command is due, now or later without a further change of its allocations. */
-export function hasCommandsDue({ tenure: { orphanedTasks, allocations } }: Machine): boolean {
-  if (orphanedTasks.length > 0) return true;
-  for (const { phase, stopGraceS } of allocations.values())
+/**
+ * Whether the machine has a task for which a command is due, now or later without a further change of its allocations, of its
+ * orphaned tasks or of its fencing token.
+ */
+export function hasCommandsDue({ clusterState }: ClusterStateView, machine: Machine): boolean {
+  for (const { phase, stopGraceS } of machine.tenure.allocations.values())
     if (phase === 'planned' || phase === 'exited' || stopGraceS !== null) return true;
-  return false;
+  return hasOrphanedWork(machine) || areForgetsDue(clusterState, machine);
+}
+
+/** Returns whether the machine's fencing token should rise so that its worker may forget exited tasks. */
+export function tokenRaiseToForget({ clusterState }: ClusterStateView, machine: Machine): TokenRaise {
+  const { tenure, moveToShard } = machine;
+  const fencingToken = clusterState.fencingToken(machine);
+  for (const allocation of tenure.allocations.values()) {
+    // The write of a move raises the token too.
+    if (moveToShard === null && isRestartAwaitingForget(allocation) && !mayForget(allocation, fencingToken)) return 'prompt';
+  }
+  if (tenure.orphanedTasks.length === 0 || mayForgetOrphans(tenure, fencingToken)) return 'none';
+  if (hasUnfinishedOrphan(machine, clusterState)) return 'prompt';
+  return tenure.orphanedTasks.length >= MAX_FINISHED_TASKS ? 'background' : 'none';
+}
+
+/** Whether the task is to start again, and the worker has to forget this attempt before: it was told to stop, or has exited. */
+function isRestartAwaitingForget(allocation: Allocation): boolean {
+  const { phase, stopGraceS } = allocation;
+  if (phase === 'planned' || (phase !== 'exited' && stopGraceS === null)) return false;
+  return !isFinished(allocation) && !isResultUnstored(allocation);
+}
+
+/**
+ * Whether a message is due that only has the worker forget tasks: a task can't restart before, or the worker reports many that
+ * it may forget.
+ */
+function areForgetsDue(clusterState: ClusterStateView['clusterState'], machine: Machine): boolean {
+  const { allocations, orphanedTasks } = machine.tenure;
+  const fencingToken = clusterState.fencingToken(machine);
+  for (const allocation of allocations.values())
+    if (allocation.phase === 'exited' && isRestartAwaitingForget(allocation) && mayForget(allocation, fencingToken)) return true;
+  if (!mayForgetOrphans(machine.tenure, fencingToken)) return false;
+  return orphanedTasks.length >= MAX_FINISHED_TASKS || hasUnfinishedOrphan(machine, clusterState);
+}
+
+/** Returns commands that stop the running tasks without an allocation, and have the worker forget the exited ones if it may. */
+function orphanCommands({ tenure }: Machine, fencingToken: number): Command[] {
+  const mayForgetThem = mayForgetOrphans(tenure, fencingToken);
+  const clearable = mayForgetThem ? tenure.orphanedTasks : tenure.orphanedTasks.filter(({ state }) => state !== 'exited');
+  return clearable.slice(0, MAX_COMMANDS_PER_BODY).map(clearOrphanedTask);
 }
 
 /**
  * Adds stop and forget commands up to the limit of a message; the remaining ones follow in the next message. Subtracts from
  * `free` the resources of the tasks that stay on the machine.
  */
-function addStopsAndForgets(commands: Command[], machine: Machine, free: Resources, now: Milliseconds): void {
+function addStopsAndForgets(
+  commands: Command[],
+  machine: Machine,
+  free: Resources,
+  fencingToken: number,
+  now: Milliseconds,
+): void {
   for (const allocation of machine.tenure.allocations.values()) {
     if (allocation.phase === 'planned') continue;
     const fitsInMessage = commands.length < MAX_COMMANDS_PER_BODY;
     if (allocation.phase === 'exited') {
-      if (fitsInMessage && !isResultUnstored(allocation)) commands.push(forgetCommand(allocation));
+      if (fitsInMessage && !isResultUnstored(allocation) && mayForget(allocation, fencingToken))
+        commands.push(forgetCommand(allocation));
       continue;
     }
     if (allocation.stopGraceS !== null && fitsInMessage && now - allocation.stopSentAt > STOP_RETRY_MS) {
@@ -84,11 +154,6 @@
   if (allocation.firstStopSentAt === null) allocation.firstStopSentAt = now;
 }
 
-/** Whether the task is completed but not stored as done. Until then the worker must keep its result. */
-function isResultUnstored({ status, job, taskIndex }: Allocation): boolean {
-  return status?.exitReason === 'done' && job.state === 'live' && !job.storedDone[taskIndex];
-}
-
 /** Adds starts of planned tasks that fit into `free`, from which it subtracts their resources. Returns their allocations. */
 function addStarts(commands: Command[], allocations: TaskAllocations, machine: Machine, free: Resources): Allocation[] {
   const limit = MAX_COMMANDS_WITH_STARTS - commands.length;
@@ -129,28 +194,11 @@
 }
 
 /**
- * Whether the commands can wait to be sent together with later ones. With one message and response per command, the short
- * low-priority tasks of one large array took all of the CPU time (docs/incidents/inc-3aa6-leith-ops.md).
+ * Whether the commands, which aren't all forgets, can wait to be sent together with later ones. With one message and response per
+ * command, the short low-priority tasks of one large array took all of the CPU time (docs/incidents/inc-3aa6-leith-ops.md).
  */
 function canDefer(machine: Machine, commands: readonly Command[], starts: readonly Allocation[], now: Milliseconds): boolean {
   if (commands.some((command) => command.type === 'stop') || starts.some((allocation) => allocation.job.priority > 0))
     return false;
-  const sinceCommandMs = now - machine.lastCommandAt;
-  if (starts.length > 0) return sinceCommandMs < LOW_PRIORITY_START_INTERVAL_MS;
-  return sinceCommandMs < FORGET_INTERVAL_MS && canDeferForgets(machine);
-}
-
-/**
- * Whether forget commands can wait. They can't on a machine that would otherwise be empty or is about to leave, nor if one of
- * them is required before a task can restart.
- */
-function canDeferForgets(machine: Machine): boolean {
-  if (machine.moveToShard !== null || machine.isRetired || machine.tenure.preemptionNoticeUntil !== null) return false;
-  let runsOtherTasks = false;
-  for (const { phase, status } of machine.tenure.allocations.values()) {
-    // A task that was stopped or failed can't restart until the worker has forgotten it.
-    if (phase === 'exited' && status?.exitReason !== 'done') return false;
-    runsOtherTasks ||= phase === 'reported';
-  }
-  return runsOtherTasks;
+  return now - machine.lastCommandAt < LOW_PRIORITY_START_INTERVAL_MS;
 }
--- a/packages/controller/src/shards/machine-lifecycle.ts
+++ b/packages/controller/src/shards/machine-lifecycle.ts
@@ -3,7 +3,7 @@
  * not end; releases or moves empty machines; and raises fencing tokens. Decides about each machine separately, whereas the
  * failure detector evaluates them as a group. Owns no state except that of its parts and the tenures of the machines.
  */
-import { hasRecentPeerContact, isEmpty, type TaskAllocations } from '../allocation/index.js';
+import { canMove, hasRecentPeerContact, isEmpty, type TaskAllocations } from '../allocation/index.js';
 import type {
   ClusterStateView,
   EffectSink,
@@ -71,6 +71,7 @@
       if (this.releases.isDue(machine, now)) dueForRelease.push(machine);
       this.checkReachability(machine, now);
       if (needsHigherToken(machine)) this.assignmentUpdates.raiseFencingToken(machine);
+      else if (mayRaiseTokenToForget(machine)) this.assignmentUpdates.raiseTokenToForget(machine);
     }
     this.releases.request(dueForRelease, now);
   }
@@ -125,10 +126,15 @@
   private checkEmpty(machine: Machine, now: Milliseconds): void {
     const { tenure } = machine;
     if (tenure.releaseReason !== null) return;
-    if (isEmpty(machine) && tenure.isVerified && !tenure.hasUncertainCommand) this.releaseEmpty(machine, now);
+    if (tenure.isVerified && !tenure.hasUncertainCommand) {
+      if (isEmpty(machine)) this.releaseEmpty(machine, now);
+      if (machine.moveToShard !== null && tenure.releaseReason === null && canMove(machine, this.context.clusterState))
+        this.assignmentUpdates.moveToShard(machine);
+    }
     if ((machine.moveToShard !== null || machine.isRetired) && tenure.releaseReason === null) this.allocations.drain(machine);
   }
 
+  /** Releases an empty machine that is retired, faulty or about to be preempted by the cloud. */
   private releaseEmpty(machine: Machine, now: Milliseconds): void {
     const { failureAttribution } = this.allocations;
     if (machine.isRetired) this.releases.mark(machine, 'idle', now);
@@ -136,7 +142,6 @@
       failureAttribution.discardFailuresOn(machine);
       this.releases.mark(machine, 'quarantined', now);
     } else if (machine.tenure.preemptionNoticeUntil !== null) this.releases.mark(machine, 'spot preemption notice', now);
-    else if (machine.moveToShard !== null) this.assignmentUpdates.moveToShard(machine);
   }
 
   /**
@@ -224,6 +229,11 @@
   );
 }
 
+/** Whether the machine's fencing token may be raised now so that its worker may forget exited tasks. */
+function mayRaiseTokenToForget({ tenure, assignmentWriteQueued }: Machine): boolean {
+  return tenure.tokenRaise !== 'none' && !assignmentWriteQueued && tenure.releaseReason === null;
+}
+
 /** Whether the machine may have tasks that can't restart elsewhere until it is gone. Array tasks don't justify a release. */
 function mayBlockRescheduling({ tenure }: Machine): boolean {
   if (tenure.isUnverifiedTakeover) return true;
--- a/packages/controller/src/state/cluster-state.ts
+++ b/packages/controller/src/state/cluster-state.ts
@@ -192,6 +192,11 @@
     return this.jobRegistry.restore(id, record, now);
   }
 
+  /** Whether the task never starts again: its job is done or cancelled, or the task is stored as done. */
+  isTaskFinished(jobId: string, index: number): boolean {
+    return this.finishedJobs.has(jobId) || this.jobs.get(jobId)?.storedDone[index] === 1;
+  }
+
   /** Forgets the job if it is done or cancelled and none of its tasks is allocated. */
   forgetIfFinished(job: Job): void {
     this.jobRegistry.forgetIfFinished(job);
--- a/packages/controller/src/state/machine-registry.ts
+++ b/packages/controller/src/state/machine-registry.ts
@@ -45,6 +45,8 @@
     }
     if (assignment.address) machine.address = assignment.address;
     machine.assignmentRevision = entry.revision;
+    // Commands may have waited for the higher fencing token.
+    machine.commandsDue = true;
     machine.moveToShard = assignment.moveToShard;
     machine.isRetired = assignment.isRetired;
     return { kind: 'machine', machine, isShardChanged };
--- a/test/simulation/cluster.ts
+++ b/test/simulation/cluster.ts
@@ -50,6 +50,8 @@
   garblesCommandResponses: (controller: string, machine: string) => boolean = () => false;
   /** Reports whether the machine's heartbeats reach no controller; direct commands still reach the machine. */
   losesHeartbeats: (machine: string) => boolean = () => false;
+  /** called after each simulation step */
+  afterStep: (() => void) | null = null;
   /** called with everything that controllers log */
   onLog: ((controller: string, effect: Extract<Effect, { type: 'log' }>) => void) | null = null;
   /** called with every encoded status and forwarded heartbeat when it is sent */
@@ -167,6 +169,7 @@
       for (const worker of this.workers) worker.tick();
       for (const node of this.controllers) node.tick();
       this.rules.checkStep();
+      this.afterStep?.();
     }
   }
 
--- a/test/simulation/worker.ts
+++ b/test/simulation/worker.ts
@@ -15,6 +15,13 @@
   startedAt: number;
 }
 
+/** A command request that the worker executed. */
+interface ExecutedRequest {
+  fencingToken: number;
+  agentEpoch: number;
+  commands: Command[];
+}
+
 /** One worker: its lease, its agent epoch, the highest fencing token that it accepted, and its tasks. */
 export class SimulatedWorker {
   agentEpoch = 1;
@@ -34,6 +41,8 @@
   heldCommands: (() => void)[] = [];
   /** whether all tasks on the machine fail */
   isFaulty = false;
+  /** executed requests that contain a start; the network or their senders may repeat them */
+  private readonly executedStarts: ExecutedRequest[] = [];
 
   constructor(
     readonly cluster: SimulatedCluster,
@@ -53,6 +62,7 @@
     this.sequence = 0;
     this.fencingToken = 0;
     this.tasks.clear();
+    this.executedStarts.length = 0;
     this.leaseRenewedAt = this.cluster.now;
   }
 
@@ -133,10 +143,27 @@
       return { kind: 'stale', heartbeat: this.nextHeartbeat() };
     this.fencingToken = fencingToken;
     this.executeCommands(commands);
+    if (commands.some((command) => command.type === 'start')) this.executedStarts.push({ fencingToken, agentEpoch, commands });
     this.nextHeartbeatAt = Math.min(this.nextHeartbeatAt, this.cluster.now + 500);
     return { kind: 'ok', heartbeat: this.nextHeartbeat() };
   }
 
+  /** Delivers executed requests that contain a start once more: the one given by its index, or all in their order. */
+  repeatExecutedStarts(index?: number): void {
+    if (this.dead || this.hung) return;
+    const requests = index === undefined ? [...this.executedStarts] : this.executedStarts.slice(index, index + 1);
+    for (const { fencingToken, agentEpoch, commands } of requests)
+      if (fencingToken >= this.fencingToken && agentEpoch === this.agentEpoch) {
+        this.fencingToken = fencingToken;
+        this.executeCommands(commands);
+        this.sequence++;
+      }
+  }
+
+  get executedStartCount(): number {
+    return this.executedStarts.length;
+  }
+
   tick(): void {
     const { now, leaseMs } = this.cluster;
     if (this.dead || this.hung) return;
