Machines that report over 200 exited tasks take no starts; executed commands are repeated at random

A machine whose heartbeat has more than 200 exited tasks is not schedulable until they are fewer.

Tests: heartbeats stay below 450 tasks in that scenario (200, and what runs or ends meanwhile); 600 short tasks need at most a write for 32 of them; a lease holder of the version in production that takes over exited tasks leaves alone what runs.

--- a/packages/controller/src/allocation/exited-tasks.ts
+++ b/packages/controller/src/allocation/exited-tasks.ts
@@ -6,8 +6,8 @@
 import type { ClusterStateView } from '../context/index.js';
 import type { Allocation, Machine, MachineTenure } from '../model/index.js';
 
-/** Number of exited tasks without an allocation above which a machine accepts no starts, so that its heartbeats stay small. */
-const MAX_EXITED_ORPHANS_WITH_STARTS = 200;
+/** Number of exited tasks in a heartbeat above which a machine accepts no starts, so that its heartbeats stay small. */
+const MAX_EXITED_TASKS_WITH_STARTS = 200;
 
 /** Whether the task never starts again: its job is done or cancelled, or the task is stored as done. */
 export function isFinished({ job, taskIndex }: Allocation): boolean {
@@ -37,7 +37,7 @@
   return tenure.orphanedTasks.some(({ job, index, state }) => state === 'exited' && !clusterState.isTaskFinished(job, index));
 }
 
-/** Whether so many exited tasks wait to be forgotten that the machine should start no more. */
-export function hasTooManyExitedOrphans({ tenure }: Machine): boolean {
-  return tenure.orphanedTasks.length > MAX_EXITED_ORPHANS_WITH_STARTS;
+/** Whether the worker reports so many exited tasks that it should start no more. */
+export function hasTooManyExitedTasks({ tenure }: Machine): boolean {
+  return tenure.exitedTaskCount > MAX_EXITED_TASKS_WITH_STARTS;
 }
--- a/packages/controller/src/allocation/index.ts
+++ b/packages/controller/src/allocation/index.ts
@@ -3,7 +3,7 @@
  * failures are attributed to jobs or to machines. Owns the allocations of jobs and machines.
  */
 export {
-  hasTooManyExitedOrphans,
+  hasTooManyExitedTasks,
   hasUnfinishedOrphan,
   isFinished,
   isResultUnstored,
--- a/packages/controller/src/allocation/machine-schedulability.ts
+++ b/packages/controller/src/allocation/machine-schedulability.ts
@@ -4,7 +4,7 @@
  */
 import type { SettingsView } from '../context/index.js';
 import type { Machine, Milliseconds } from '../model/index.js';
-import { hasTooManyExitedOrphans } from './exited-tasks.js';
+import { hasTooManyExitedTasks } from './exited-tasks.js';
 import type { FailureAttribution } from './failure-attribution.js';
 import { hasOrphanedWork } from './machine-work.js';
 
@@ -50,7 +50,7 @@
       !this.failureAttribution.isAttributionPending(machine, now) &&
       tenure.unansweredCommands === 0 &&
       !hasOrphanedWork(machine) &&
-      !hasTooManyExitedOrphans(machine) &&
+      !hasTooManyExitedTasks(machine) &&
       now - tenure.lastHeartbeatAt < maxHeartbeatAgeMs
     );
   }
--- a/packages/controller/src/heartbeats/heartbeat-reconciler.ts
+++ b/packages/controller/src/heartbeats/heartbeat-reconciler.ts
@@ -181,7 +181,9 @@
     const reportedKeys = new Set<string>();
     const previousOrphanCount = tenure.orphanedTasks.length;
     tenure.orphanedTasks = [];
+    tenure.exitedTaskCount = 0;
     for (const task of tasks) {
+      if (task.state === 'exited') tenure.exitedTaskCount++;
       const key = taskKey(task.job, task.index, task.attempt);
       reportedKeys.add(key);
       const allocation = tenure.allocations.get(key) ?? this.taskReconciler.adopt(machine, task, now);
--- a/packages/controller/src/shards/assignment-updates.ts
+++ b/packages/controller/src/shards/assignment-updates.ts
@@ -3,7 +3,7 @@
  * fencing tokens, and removals. Each write is conditional on the lease of the shard. Owns no state except the flags in the
  * machine that mark a queued write.
  */
-import { hasCancelledWork, hasTooManyExitedOrphans, type TaskAllocations } from '../allocation/index.js';
+import { hasCancelledWork, hasTooManyExitedTasks, type TaskAllocations } from '../allocation/index.js';
 import type { ClusterStateView, Logger, ReplicaView, StateWriting } from '../context/index.js';
 import type { Machine } from '../model/index.js';
 import { encodeAssignment, type PendingWrite, StateKey, WritePriority } from '../state/index.js';
@@ -148,5 +148,5 @@
 
 /** Whether another write of the machine's assignment waits for the queued one, or the machine takes no starts until then. */
 function isAssignmentWriteDue(machine: Machine): boolean {
-  return machine.tenure.hasUncertainCommand || machine.moveToShard !== null || hasTooManyExitedOrphans(machine);
+  return machine.tenure.hasUncertainCommand || machine.moveToShard !== null || hasTooManyExitedTasks(machine);
 }
--- a/test/randomized-simulation.test.ts
+++ b/test/randomized-simulation.test.ts
@@ -46,3 +46,16 @@
     }
   }
 });
+
+/** For longer, by hand: REPEAT_WALKS=200 npm test. */
+test('random simulations in which executed commands arrive again start no task by them, with an upgrade and without', () => {
+  for (let seed = 1; seed <= Number(process.env.REPEAT_WALKS ?? 8); seed++) {
+    for (const version of [undefined, PRODUCTION]) {
+      try {
+        new RandomizedSimulation(seed, { repeatsCommands: true, ...(version && { initialVersion: version }) }).run(120);
+      } catch (e) {
+        assert.fail(`seed ${seed}${version ? ', with an upgrade' : ''}: ${e instanceof Error ? e.message : e}`);
+      }
+    }
+  }
+});
--- a/test/randomized/randomized-simulation.ts
+++ b/test/randomized/randomized-simulation.ts
@@ -23,6 +23,8 @@
   tune?: (settings: ControllerSettings) => ControllerSettings;
   /** maximum number of inputs that a controller processes per simulation step; unlimited by default */
   inputsPerTick?: number;
+  /** whether requests that workers executed arrive again, late and in any order */
+  repeatsCommands?: boolean;
   /** length of the change log that a watch can resume from, and pages of a snapshot */
   state?: { changesKept: number; pages: number };
 }
@@ -37,6 +39,9 @@
 /** Earliest time at which the state service lowers its limits, after the last upgrade. */
 const LIMITS_CHANGE_AT_MS = UPGRADE_AT_MS + 4 * UPGRADE_INTERVAL_MS;
 
+/** Share of the steps in which an executed request arrives again. */
+const REPEATED_STEP_SHARE = 0.5;
+
 /** One run of the simulation: its cluster, users and faults. */
 export class RandomizedSimulation {
   readonly cluster: SimulatedCluster;
@@ -44,6 +49,8 @@
   private readonly random: Random;
   private readonly faults: FaultInjector;
   private readonly faultKinds: readonly Fault[];
+  /** apart from `random`, so that the same seed brings the same faults with and without repeated commands */
+  private readonly repeatRandom: Random;
 
   constructor(
     seed: number,
@@ -51,6 +58,7 @@
   ) {
     this.faultKinds = options.faultKinds ?? FAULTS;
     this.random = new Random(seed);
+    this.repeatRandom = new Random(seed + 1);
     this.cluster = this.createCluster();
     if (options.initialVersion) this.startWithVersion(options.initialVersion);
     this.addMachines();
@@ -116,10 +124,21 @@
         writesPerS: nextLimits.writesPerS,
       };
     }
+    if (this.options.repeatsCommands && this.repeatRandom.next() < REPEATED_STEP_SHARE) this.repeatCommand();
     this.cluster.run(0.1);
     checkDerivedState(this.cluster, this.options.initialVersion);
   }
 
+  /** Delivers a request that a worker executed once more. Fails if a task starts by it. */
+  private repeatCommand(): void {
+    const worker = this.repeatRandom.pick(this.cluster.workers);
+    const before = this.cluster.trace.length;
+    // The initial version may forget attempts under the fencing token of their starts.
+    worker.repeatExecutedStart(this.repeatRandom.below(Math.max(1, worker.executedStartCount)), this.options.initialVersion);
+    const started = this.cluster.trace.slice(before).find((line) => line.includes(' starts '));
+    if (started !== undefined) this.cluster.fail(`started by a repeated request: ${started}`);
+  }
+
   /** Injects two or three faults at a time for `seconds`, ends them and checks that the cluster recovers. */
   run(seconds: number): void {
     const { random, users, faults } = this;
--- a/test/repeated-commands.test.ts
+++ b/test/repeated-commands.test.ts
@@ -4,6 +4,7 @@
 import { test } from 'node:test';
 import { holderOfJob } from './scenarios/failover-scenarios.js';
 import { workerRunning } from './scenarios/partition-scenarios.js';
+import { PRODUCTION_VERSION, productionCluster, upgrade } from './scenarios/upgrade-scenarios.js';
 import { assertGoldenTrace, job, SimulatedCluster, type SimulatedWorker, smallCluster } from './simulation/index.js';
 
 /** Number of the latest requests of each worker that arrive again at each step of the simulation. */
@@ -17,7 +18,7 @@
   const before = startsIn(cluster).length;
   for (const worker of cluster.workers) {
     const count = worker.executedStartCount;
-    for (let index = Math.max(0, count - REPEATED_REQUESTS); index < count; index++) worker.repeatExecutedStarts(index);
+    for (let index = Math.max(0, count - REPEATED_REQUESTS); index < count; index++) worker.repeatExecutedStart(index);
   }
   const repeated = startsIn(cluster).slice(before);
   assert.deepEqual(repeated, [], `started by a repeated request:\n${cluster.trace.join('\n')}`);
@@ -65,7 +66,7 @@
   sender.crash();
   cluster.run(1);
   cluster.note(`${first.name} receives its first start again`);
-  first.repeatExecutedStarts(0);
+  first.repeatExecutedStart(0);
   cluster.run(2);
   sender.restart();
   cluster.run(20);
@@ -198,3 +199,73 @@
   cluster.run(20);
   assert.equal(cluster.runningTasks('run-a'), 2);
 });
+
+/** A cluster of six machines whose shards but one have no team. `writesPerS`: writes that the state service accepts. */
+function clusterOfOneTeam(writesPerS: number): SimulatedCluster {
+  const cluster = new SimulatedCluster(undefined, (settings) => ({
+    ...settings,
+    state: { ...settings.state, writesPerS },
+    teams: settings.teams.slice(0, 1),
+  }));
+  for (let index = 0; index < 6; index++) cluster.addMachine(`m${index}`, 'small', index % 2 === 0 ? 'east' : 'west');
+  cluster.runUntilSettled();
+  return cluster;
+}
+
+/** Returns the highest number of tasks in a heartbeat from now on. */
+function highestTaskCount(cluster: SimulatedCluster): () => number {
+  let highest = 0;
+  cluster.onHeartbeat = (heartbeat) => {
+    highest = Math.max(highest, heartbeat.tasks.length);
+  };
+  return () => highest;
+}
+
+test('short tasks end one after another: one write lets a worker forget many of them', () => {
+  const cluster = repeatAtEachStep(clusterOfOneTeam(60));
+  const highest = highestTaskCount(cluster);
+  const writesBefore = cluster.changes.get('g') ?? 0;
+  cluster.submit(job('run-short', { tasks: 600, cpus: 1, memory: 1, estimatedRunS: 1 }));
+  cluster.runUntil('all tasks are done', () => cluster.allTasksDone('run-short'), 200);
+  const writes = (cluster.changes.get('g') ?? 0) - writesBefore;
+  assert.ok(writes <= 600 / 32, `${writes} assignments written again`);
+  assert.ok(highest() <= 100, `${highest()} tasks in a heartbeat`);
+});
+
+// A worker whose heartbeat exceeds 64 KiB gets no answer, and loses its tasks.
+test('hundreds of tasks a second end and hardly any write is left: heartbeats stay small', () => {
+  const cluster = repeatAtEachStep(clusterOfOneTeam(4));
+  const highest = highestTaskCount(cluster);
+  cluster.submit(job('run-tiny', { tasks: 20_000, cpus: 0.05, memory: 0.1, estimatedRunS: 0.5 }));
+  cluster.run(60);
+  assert.ok(highest() <= 450, `${highest()} tasks in a heartbeat`);
+  const finished = cluster.finished.size;
+  cluster.run(20);
+  assert.ok(cluster.finished.size > finished, 'tasks go on ending');
+});
+
+test('a lease holder of the version in production takes over machines that report exited tasks: what runs is left alone', () => {
+  const { cluster, currentVersion } = productionCluster(2);
+  for (const node of cluster.controllers) upgrade(node, currentVersion);
+  cluster.run(30);
+  repeatAtEachStep(cluster);
+  cluster.submit(job('run-short', { tasks: 12, cpus: 0.5, memory: 1, estimatedRunS: 1 }));
+  cluster.submit(job('run-long', { tasks: 2, cpus: 0.5, memory: 1, estimatedRunS: 300 }));
+  cluster.submit(job('run-gang', { tasks: 2, shape: 'gang', cpus: 0.5, memory: 1, estimatedRunS: 300 }));
+  cluster.runUntil('the short tasks are done', () => cluster.allTasksDone('run-short'), 60);
+  cluster.run(5);
+  const holder = cluster.controller(holderOfJob(cluster, 'run-long'));
+  cluster.trace = [];
+
+  for (const node of cluster.controllers) if (node !== holder) upgrade(node, PRODUCTION_VERSION);
+  cluster.run(30);
+  upgrade(holder, PRODUCTION_VERSION);
+  cluster.run(30);
+
+  assert.equal(cluster.runningTasks('run-long'), 2);
+  assert.equal(cluster.runningTasks('run-gang'), 2);
+  assert.deepEqual(
+    cluster.trace.filter((line) => / (starts|stops|kills) /.test(line)),
+    [],
+  );
+});
--- a/test/simulation/controller.ts
+++ b/test/simulation/controller.ts
@@ -255,7 +255,7 @@
   }
 
   private applyEffect(effect: Effect): void {
-    const { cluster, controller: core } = this;
+    const { cluster, controller: core, runningVersion: version } = this;
     const schedule = (delayMs: number, run: () => void, lost: () => void = run) =>
       cluster.runAt(cluster.now + delayMs, () => {
         if (this.up && this.controller === core) this.enqueueInput(run, lost);
@@ -303,11 +303,13 @@
         cluster.losesControllerMessages(this.name, effect.machine) || cluster.losesCommands(this.name, effect.machine);
       if (!worker || worker.dead || worker.hung || cluster.isPartitioned(this.name, effect.machine) || isLost) {
         if (worker?.hung)
-          worker.heldCommands.push(() => void worker.receiveCommands(effect.fencingToken, effect.agentEpoch, effect.commands));
+          worker.heldCommands.push(
+            () => void worker.receiveCommands(effect.fencingToken, effect.agentEpoch, effect.commands, version),
+          );
         // The network may deliver a command long after the controller gave up on it.
         else if (worker && cluster.lateCommandDelayMs) {
           cluster.runAt(cluster.now + cluster.lateCommandDelayMs(), () => {
-            const deliver = () => void worker.receiveCommands(effect.fencingToken, effect.agentEpoch, effect.commands);
+            const deliver = () => void worker.receiveCommands(effect.fencingToken, effect.agentEpoch, effect.commands, version);
             if (worker.hung) worker.heldCommands.push(deliver);
             else if (!worker.dead) deliver();
           });
@@ -321,7 +323,7 @@
         this.pendingProbes -= probeCount;
         core.receiveCommandOutcome(effect.id, outcome, cluster.now);
       };
-      const outcome = worker.receiveCommands(effect.fencingToken, effect.agentEpoch, effect.commands);
+      const outcome = worker.receiveCommands(effect.fencingToken, effect.agentEpoch, effect.commands, version);
       const unreadable = outcome.kind === 'ok' && cluster.garblesCommandResponses(this.name, effect.machine);
       schedule(10, receiveOutcome(unreadable ? { ...outcome, heartbeat: null } : outcome), receiveOutcome({ kind: 'lost' }));
     } else if (effect.type === 'probe') {
--- a/test/simulation/worker.ts
+++ b/test/simulation/worker.ts
@@ -2,7 +2,7 @@
 import type { Controller } from '@archpost/controller';
 import type { Command, Heartbeat, JobSpec, MachineType, TaskStatus } from '@archpost/protocol';
 import type { SimulatedCluster } from './cluster.js';
-import type { SimulatedController } from './controller.js';
+import type { ControllerVersion, SimulatedController } from './controller.js';
 import { TYPES } from './fixtures.js';
 
 const HEARTBEAT_INTERVAL_MS = 2000;
@@ -20,6 +20,8 @@
   fencingToken: number;
   agentEpoch: number;
   commands: Command[];
+  /** version of the controller that sent it */
+  version: ControllerVersion | null;
 }
 
 /** One worker: its lease, its agent epoch, the highest fencing token that it accepted, and its tasks. */
@@ -138,26 +140,29 @@
     fencingToken: number,
     agentEpoch: number,
     commands: Command[],
+    version: ControllerVersion | null = null,
   ): Parameters<Controller['receiveCommandOutcome']>[1] {
     if (fencingToken < this.fencingToken || agentEpoch !== this.agentEpoch)
       return { kind: 'stale', heartbeat: this.nextHeartbeat() };
     this.fencingToken = fencingToken;
     this.executeCommands(commands);
-    if (commands.some((command) => command.type === 'start')) this.executedStarts.push({ fencingToken, agentEpoch, commands });
+    if (commands.some((command) => command.type === 'start'))
+      this.executedStarts.push({ fencingToken, agentEpoch, commands, version });
     this.nextHeartbeatAt = Math.min(this.nextHeartbeatAt, this.cluster.now + 500);
     return { kind: 'ok', heartbeat: this.nextHeartbeat() };
   }
 
-  /** Delivers executed requests that contain a start once more: the one given by its index, or all in their order. */
-  repeatExecutedStarts(index?: number): void {
-    if (this.dead || this.hung) return;
-    const requests = index === undefined ? [...this.executedStarts] : this.executedStarts.slice(index, index + 1);
-    for (const { fencingToken, agentEpoch, commands } of requests)
-      if (fencingToken >= this.fencingToken && agentEpoch === this.agentEpoch) {
-        this.fencingToken = fencingToken;
-        this.executeCommands(commands);
-        this.sequence++;
-      }
+  /**
+   * Delivers one of the executed requests that contain a start once more, unless a controller of the version `except` sent it.
+   */
+  repeatExecutedStart(index: number, except: ControllerVersion | null = null): void {
+    const request = this.executedStarts[index];
+    if (this.dead || this.hung || !request || (except !== null && request.version === except)) return;
+    if (request.fencingToken < this.fencingToken || request.agentEpoch !== this.agentEpoch) return;
+    this.fencingToken = request.fencingToken;
+    this.executeCommands(request.commands);
+    // The response, which nobody waits for, has a number too.
+    this.sequence++;
   }
 
   get executedStartCount(): number {
