--- a/packages/controller/src/allocation/index.ts
+++ b/packages/controller/src/allocation/index.ts
@@ -13,6 +13,6 @@
 export { freeResourcesOf } from './free-resources.js';
 export type { HeldShards } from './held-shards.js';
 export { hasRecentContact, hasRecentPeerContact } from './machine-schedulability.js';
-export { canMove, hasCancelledWork, hasOrphanedWork, isEmpty } from './machine-work.js';
+export { canMove, hasCancelledWork, isEmpty } from './machine-work.js';
 export { TaskAllocations, taskKey, type UnmetDemand } from './task-allocations.js';
 export { shardsAwaitingVerification } from './unverified-takeovers.js';
--- a/packages/controller/src/allocation/machine-schedulability.ts
+++ b/packages/controller/src/allocation/machine-schedulability.ts
@@ -6,7 +6,6 @@
 import type { Machine, Milliseconds } from '../model/index.js';
 import { hasTooManyExitedTasks } from './exited-tasks.js';
 import type { FailureAttribution } from './failure-attribution.js';
-import { hasOrphanedWork } from './machine-work.js';
 
 /** Maximum age of the last heartbeat, in milliseconds per second of the heartbeat interval: two and a half intervals. */
 const MAX_HEARTBEAT_AGE_MS_PER_INTERVAL_S = 2500;
@@ -49,7 +48,7 @@
       !this.failureAttribution.isFaulty(machine, now) &&
       !this.failureAttribution.isAttributionPending(machine, now) &&
       tenure.unansweredCommands === 0 &&
-      !hasOrphanedWork(machine) &&
+      !tenure.hasOrphanedWork &&
       !hasTooManyExitedTasks(machine) &&
       now - tenure.lastHeartbeatAt < maxHeartbeatAgeMs
     );
--- a/packages/controller/src/allocation/machine-work.ts
+++ b/packages/controller/src/allocation/machine-work.ts
@@ -9,15 +9,9 @@
   return false;
 }
 
-/** Whether tasks without an allocation run on the machine: the resources that they use are unknown. */
-export function hasOrphanedWork({ tenure }: Machine): boolean {
-  return tenure.orphanedTasks.some((task) => task.state !== 'exited');
-}
-
 /** Whether the machine has no allocated task, no orphaned task that has not exited and no pending command. */
-export function isEmpty(machine: Machine): boolean {
-  const { allocations, pendingCommandId } = machine.tenure;
-  return allocations.size === 0 && pendingCommandId === null && !hasOrphanedWork(machine);
+export function isEmpty({ tenure }: Machine): boolean {
+  return tenure.allocations.size === 0 && tenure.pendingCommandId === null && !tenure.hasOrphanedWork;
 }
 
 /**
@@ -25,8 +19,8 @@
  * the machine moves on, and the move raises its fencing token.
  */
 export function canMove(machine: Machine, clusterState: ClusterStateView['clusterState']): boolean {
-  const { allocations, pendingCommandId } = machine.tenure;
-  if (pendingCommandId !== null || hasOrphanedWork(machine) || hasUnfinishedOrphan(machine, clusterState)) return false;
+  const { allocations, hasOrphanedWork, pendingCommandId } = machine.tenure;
+  if (pendingCommandId !== null || hasOrphanedWork || hasUnfinishedOrphan(machine, clusterState)) return false;
   for (const allocation of allocations.values()) if (allocation.phase !== 'exited' || isResultUnstored(allocation)) return false;
   return true;
 }
--- a/packages/controller/src/heartbeats/heartbeat-reconciler.ts
+++ b/packages/controller/src/heartbeats/heartbeat-reconciler.ts
@@ -6,7 +6,7 @@
  * tasks.
  */
 import type { Heartbeat, TaskStatus, UnchangedHeartbeat } from '@archpost/protocol';
-import { hasOrphanedWork, mayForget, type TaskAllocations, taskKey } from '../allocation/index.js';
+import { mayForget, type TaskAllocations, taskKey } from '../allocation/index.js';
 import type { ClusterStateView, Logger, ReplicaView, SettingsView } from '../context/index.js';
 import {
   CANCELLED_WORK_PRIORITY,
@@ -193,7 +193,8 @@
       }
       tenure.orphanedTasks.push(task);
     }
-    if (tenure.orphanedTasks.length !== previousOrphanCount || hasOrphanedWork(machine)) machine.allocationsChanged();
+    tenure.hasOrphanedWork = tenure.orphanedTasks.some(({ state }) => state !== 'exited');
+    if (tenure.orphanedTasks.length !== previousOrphanCount || tenure.hasOrphanedWork) machine.allocationsChanged();
     return reportedKeys;
   }
 
--- a/packages/controller/src/model/machine.ts
+++ b/packages/controller/src/model/machine.ts
@@ -86,6 +86,8 @@
   preemptionNoticeUntil: Milliseconds | null = null;
   /** tasks in its last heartbeat that belong to no allocation, among them exited tasks that are finished */
   orphanedTasks: TaskStatus[] = [];
+  /** whether a task runs on it that belongs to no allocation: the resources that it uses are unknown */
+  hasOrphanedWork = false;
   /** number of exited tasks in its last heartbeat */
   exitedTaskCount = 0;
 
--- a/packages/controller/src/shards/machine-commands.ts
+++ b/packages/controller/src/shards/machine-commands.ts
@@ -4,7 +4,6 @@
  */
 import { type Command, MAX_COMMANDS_PER_BODY } from '@archpost/protocol';
 import {
-  hasOrphanedWork,
   hasUnfinishedOrphan,
   isFinished,
   isResultUnstored,
@@ -78,7 +77,7 @@
 export function hasCommandsDue({ clusterState }: ClusterStateView, machine: Machine): boolean {
   for (const { phase, stopGraceS } of machine.tenure.allocations.values())
     if (phase === 'planned' || phase === 'exited' || stopGraceS !== null) return true;
-  return hasOrphanedWork(machine) || areForgetsDue(clusterState, machine);
+  return machine.tenure.hasOrphanedWork || areForgetsDue(clusterState, machine);
 }
 
 /** Returns whether the machine's fencing token should rise so that its worker may forget exited tasks. */
