--- a/packages/controller/src/shards/assignment-updates.ts
+++ b/packages/controller/src/shards/assignment-updates.ts
@@ -17,6 +17,9 @@
  */
 const MAX_BACKGROUND_RAISES = 4;
 
+/** Why a fencing token is raised, as it is logged. */
+type TokenRaiseReason = 'uncertain command' | 'a task waits to restart' | 'many finished tasks';
+
 /** The parts of the controller's context that `AssignmentUpdates` uses. */
 type AssignmentUpdatesContext = ClusterStateView & ReplicaView & StateWriting & Logger;
 
@@ -57,7 +60,7 @@
     if (machine.assignmentWriteQueued) return;
     const { tenure } = machine;
     tenure.isRaisingToken = true;
-    this.rewriteAssignment(machine, {
+    this.rewriteAssignment(machine, 'uncertain command', {
       priority: WritePriority.release,
       // Until this is stored, no command is sent to the machine, and therefore no stop of its cancelled work.
       isUrgent: () => hasCancelledWork(machine),
@@ -77,20 +80,27 @@
     const isBackground = tenure.tokenRaise === 'background';
     if (machine.assignmentWriteQueued || (isBackground && this.queuedBackgroundRaises >= MAX_BACKGROUND_RAISES)) return;
     if (isBackground) this.queuedBackgroundRaises++;
-    this.rewriteAssignment(machine, {
+    this.rewriteAssignment(machine, isBackground ? 'many finished tasks' : 'a task waits to restart', {
       priority: isBackground ? WritePriority.images : WritePriority.release,
       // No other write of the assignment is queued meanwhile: a move, or a higher token after an uncertain command.
-      isUrgent: () => isBackground && isAssignmentWriteDue(machine),
-      onOutcome: () => {
+      isUrgent: () =>
+        (isBackground && isAssignmentWriteDue(machine)) || (tenure.hasUncertainCommand && hasCancelledWork(machine)),
+      onOutcome: (outcome) => {
         if (isBackground) this.queuedBackgroundRaises--;
+        // Decided anew with the next commands.
+        if (outcome !== 'ok') machine.commandsDue = true;
         tenure.tokenRaise = 'none';
-        machine.commandsDue = true;
       },
     });
   }
 
   /** Writes the unchanged assignment again, under a new revision. */
-  private rewriteAssignment(machine: Machine, write: Pick<PendingWrite, 'priority' | 'isUrgent' | 'onOutcome'>): void {
+  private rewriteAssignment(
+    machine: Machine,
+    reason: TokenRaiseReason,
+    write: Pick<PendingWrite, 'priority' | 'isUrgent' | 'onOutcome'>,
+  ): void {
+    this.context.log('debug', 'raising fencing token', { machine: machine.name, reason });
     machine.assignmentWriteQueued = true;
     const previousRevision = machine.assignmentRevision;
     this.context.writer.add({
--- a/packages/controller/src/state/machine-registry.ts
+++ b/packages/controller/src/state/machine-registry.ts
@@ -45,8 +45,9 @@
     }
     if (assignment.address) machine.address = assignment.address;
     machine.assignmentRevision = entry.revision;
-    // Commands may have waited for the higher fencing token.
+    // Commands may have waited for the higher fencing token; whether another one is needed is decided when they are composed.
     machine.commandsDue = true;
+    machine.tenure.tokenRaise = 'none';
     machine.moveToShard = assignment.moveToShard;
     machine.isRetired = assignment.isRetired;
     return { kind: 'machine', machine, isShardChanged };
--- a/test/measure/preemption.ts
+++ b/test/measure/preemption.ts
@@ -110,9 +110,9 @@
   return clusterState.shardOfTeam[clusterState.teamNames.indexOf(team)] ?? 0;
 };
 const preemptingTeam = TEAMS.find((team) => team !== TEAM && shardOf(team) === shardOf(TEAM)) as string;
-const borrowingTeams = TEAMS.filter((team) => team !== preemptingTeam);
+const borrowingTeams = [TEAM, TEAMS.find((team) => shardOf(team) !== shardOf(TEAM)) as string];
 const borrowing = Array.from({ length: Math.floor(bigMachines / gang.tasks) }, (_, index) =>
-  job(`run-low${index}`, { ...gang, team: borrowingTeams[index % borrowingTeams.length] as string, priority: 1 }),
+  job(`run-low${index}`, { ...gang, team: borrowingTeams[index % borrowingTeams.length], priority: 1 }),
 );
 const preempting = Array.from({ length: Math.floor(bigMachines / 8 / gang.tasks) }, (_, index) =>
   job(`run-high${index}`, { ...gang, team: preemptingTeam, priority: 2 }),
--- a/test/repeated-commands.test.ts
+++ b/test/repeated-commands.test.ts
@@ -190,12 +190,20 @@
 });
 
 test('a worker that restarts within its session: its tasks start elsewhere only once it has a higher fencing token', () => {
-  const cluster = twoMachines();
+  const cluster = smallCluster(2);
   cluster.submit(job('run-a', { tasks: 2, estimatedRunS: 200 }));
   cluster.runUntil('running', () => cluster.runningTasks('run-a') === 2);
   const first = workerRunning(cluster, 'run-a');
-  first.reboot();
-  cluster.runUntil('running again', () => cluster.runningTasks('run-a') === 2, 40);
+  first.reboot(true);
+  // It takes no further task, and isn't released.
+  first.preemptionNoticeS = 300;
+  cluster.isCloudDown = true;
+  // A repeated start may run the task on this machine again, but not while it runs elsewhere: the rule checker sees that.
+  const repeat = () => {
+    for (let index = 0; index < first.executedStartCount; index++) first.repeatExecutedStart(index);
+  };
+  cluster.runUntil('running elsewhere', () => cluster.runningTasks('run-a') === 2, 40);
+  cluster.afterStep = repeat;
   cluster.run(20);
   assert.equal(cluster.runningTasks('run-a'), 2);
 });
--- a/test/simulation/worker.ts
+++ b/test/simulation/worker.ts
@@ -57,14 +57,17 @@
     this.createdAt = cluster.now;
   }
 
-  /** Reboots the machine: its epoch, sequence and fencing token start over, and its tasks are gone. */
-  reboot(): void {
+  /**
+   * Reboots the machine: its epoch, sequence and fencing token start over, and its tasks are gone. `keepsRequests`: executed
+   * requests may still be repeated.
+   */
+  reboot(keepsRequests = false): void {
     this.cluster.note(`${this.name} reboots`);
     this.agentEpoch = 1;
     this.sequence = 0;
     this.fencingToken = 0;
     this.tasks.clear();
-    this.executedStarts.length = 0;
+    if (!keepsRequests) this.executedStarts.length = 0;
     this.leaseRenewedAt = this.cluster.now;
   }
 
