The token of the last start belongs to the machine, not to a tenure of its shard

A tenure that began again under the same lease revision would have taken the machine's starts for those of an earlier holder, and had attempts forgotten under the token of their starts. No way to such a tenure is known (the replica notifies of newer revisions only); the review names an own transaction whose answer brings a removed key back. It now needs no proof.

--- a/packages/controller/src/allocation/exited-tasks.ts
+++ b/packages/controller/src/allocation/exited-tasks.ts
@@ -4,7 +4,7 @@
  * its start, which the worker then rejects (docs/design.md, "Repeated commands"). Pure; owns no state.
  */
 import type { ClusterStateView } from '../context/index.js';
-import type { Allocation, Machine, MachineTenure } from '../model/index.js';
+import type { Allocation, Machine } from '../model/index.js';
 
 /** Number of exited tasks in a heartbeat above which a machine accepts no starts, so that its heartbeats stay small. */
 const MAX_EXITED_TASKS_WITH_STARTS = 200;
@@ -26,9 +26,9 @@
 
 /**
  * Whether the worker may forget exited tasks without an allocation under this fencing token. The tokens of their starts are not
- * known, but this lease holder sent none after that of the machine's last start.
+ * known, but none is higher than that of the last start: earlier lease holders had lower ones.
  */
-export function mayForgetOrphans({ lastStartToken }: MachineTenure, fencingToken: number): boolean {
+export function mayForgetOrphans({ lastStartToken }: Machine, fencingToken: number): boolean {
   return lastStartToken < fencingToken;
 }
 
--- a/packages/controller/src/allocation/task-allocations.ts
+++ b/packages/controller/src/allocation/task-allocations.ts
@@ -104,7 +104,7 @@
       taskIndex,
       attempt,
       machine,
-      startToken: machine.tenure.lastStartToken,
+      startToken: machine.lastStartToken,
       phase,
       status: null,
       plannedAt,
--- a/packages/controller/src/heartbeats/heartbeat-reconciler.ts
+++ b/packages/controller/src/heartbeats/heartbeat-reconciler.ts
@@ -123,7 +123,7 @@
     this.context.log('info', 'worker agent restarted', { machine: machine.name });
     for (const allocation of tenure.allocations.values())
       if (allocation.phase !== 'planned') this.allocations.keepUntilTokenRaised(allocation);
-    if (tenure.lastStartToken === this.context.clusterState.fencingToken(machine)) tenure.hasUncertainCommand = true;
+    if (machine.lastStartToken === this.context.clusterState.fencingToken(machine)) tenure.hasUncertainCommand = true;
     tenure.agentEpoch = UNKNOWN_EPOCH;
     tenure.sequence = NO_SEQUENCE;
   }
--- a/packages/controller/src/model/job.ts
+++ b/packages/controller/src/model/job.ts
@@ -31,7 +31,7 @@
   machine: Machine;
   /**
    * no start of the attempt was sent under a higher fencing token than this: the token of its start or, if another lease holder
-   * sent that, of the machine's last start in this tenure
+   * sent that, of this controller's last start on the machine
    */
   startToken: number;
   phase: AllocationPhase;
--- a/packages/controller/src/model/machine.ts
+++ b/packages/controller/src/model/machine.ts
@@ -16,7 +16,7 @@
 /** The sequence number before the first heartbeat of an agent epoch; actual sequence numbers are larger. */
 export const NO_SEQUENCE = -1;
 
-/** The fencing token of the last start on a machine that was sent none in its tenure; actual tokens are larger. */
+/** The fencing token of the last start on a machine to which none was sent; actual tokens are larger. */
 export const NO_START_TOKEN = 0;
 
 /**
@@ -103,8 +103,6 @@
   hasUncertainCommand = false;
   /** a rewrite of its assignment, which raises the token, is queued */
   isRaisingToken = false;
-  /** fencing token of the last start that was sent to it in this tenure */
-  lastStartToken = NO_START_TOKEN;
   /** as of the last time that commands for the machine were composed */
   tokenRaise: TokenRaise = 'none';
   /** why the machine is to be released; null: it isn't */
@@ -200,6 +198,8 @@
   /** a probe is requested, for example because a heartbeat contradicts the expected state */
   probeRequested = false;
   probeRequestedAt: Milliseconds = NEVER;
+  /** fencing token of the last start that this controller sent to it, in whatever tenure */
+  lastStartToken = NO_START_TOKEN;
   /** when a command or probe was last sent to it */
   lastCommandAt: Milliseconds = NEVER;
   /** there may be commands to send: a start, a stop, or the removal of an ended task */
--- a/packages/controller/src/shards/command-dispatcher.ts
+++ b/packages/controller/src/shards/command-dispatcher.ts
@@ -92,7 +92,7 @@
       allocation.phase = 'sent';
       allocation.startToken = fencingToken;
     }
-    if (starts.length > 0) tenure.lastStartToken = fencingToken;
+    if (starts.length > 0) machine.lastStartToken = fencingToken;
     tenure.pendingCommandId = id;
     machine.lastCommandAt = this.allocations.now;
     machine.probeRequested = false;
--- a/packages/controller/src/shards/machine-commands.ts
+++ b/packages/controller/src/shards/machine-commands.ts
@@ -88,7 +88,7 @@
     // The write of a move raises the token too.
     if (moveToShard === null && isRestartAwaitingForget(allocation) && !mayForget(allocation, fencingToken)) return 'prompt';
   }
-  if (tenure.orphanedTasks.length === 0 || mayForgetOrphans(tenure, fencingToken)) return 'none';
+  if (tenure.orphanedTasks.length === 0 || mayForgetOrphans(machine, fencingToken)) return 'none';
   if (hasUnfinishedOrphan(machine, clusterState)) return 'prompt';
   return tenure.orphanedTasks.length >= MAX_FINISHED_TASKS ? 'background' : 'none';
 }
@@ -109,14 +109,15 @@
   const fencingToken = clusterState.fencingToken(machine);
   for (const allocation of allocations.values())
     if (allocation.phase === 'exited' && isRestartAwaitingForget(allocation) && mayForget(allocation, fencingToken)) return true;
-  if (!mayForgetOrphans(machine.tenure, fencingToken)) return false;
+  if (!mayForgetOrphans(machine, fencingToken)) return false;
   return orphanedTasks.length >= MAX_FINISHED_TASKS || hasUnfinishedOrphan(machine, clusterState);
 }
 
 /** Returns commands that stop the running tasks without an allocation, and have the worker forget the exited ones if it may. */
-function orphanCommands({ tenure }: Machine, fencingToken: number): Command[] {
-  const mayForgetThem = mayForgetOrphans(tenure, fencingToken);
-  const clearable = mayForgetThem ? tenure.orphanedTasks : tenure.orphanedTasks.filter(({ state }) => state !== 'exited');
+function orphanCommands(machine: Machine, fencingToken: number): Command[] {
+  const { orphanedTasks } = machine.tenure;
+  const mayForgetThem = mayForgetOrphans(machine, fencingToken);
+  const clearable = mayForgetThem ? orphanedTasks : orphanedTasks.filter(({ state }) => state !== 'exited');
   return clearable.slice(0, MAX_COMMANDS_PER_BODY).map(clearOrphanedTask);
 }
 
