--- a/packages/controller/src/shards/command-dispatcher.ts
+++ b/packages/controller/src/shards/command-dispatcher.ts
@@ -7,8 +7,9 @@
 import type { ClusterStateView, EffectSink, Logger, SettingsView } from '../context/index.js';
 import { type Allocation, type Machine, type Milliseconds, UNKNOWN_EPOCH } from '../model/index.js';
 import { type CommandOutcome, CommandOutcomes, type PendingCommand } from './command-outcomes.js';
+import { tokenRaiseToForget } from './forget-commands.js';
 import type { HeartbeatReconciliation } from './heartbeat-reconciliation.js';
-import { composeCommands, hasCommandsDue, tokenRaiseToForget } from './machine-commands.js';
+import { composeCommands, hasCommandsDue } from './machine-commands.js';
 import { mayCommand, needsProbe, selectForProbing } from './probe-selection.js';
 import type { WorkerResponses } from './worker-responses.js';
 
--- a/packages/controller/src/shards/machine-commands.ts
+++ b/packages/controller/src/shards/machine-commands.ts
@@ -3,14 +3,7 @@
  * Changes only the times at which stops were sent; owns no state.
  */
 import { type Command, MAX_COMMANDS_PER_BODY } from '@archpost/protocol';
-import {
-  hasUnfinishedOrphan,
-  isFinished,
-  isResultUnstored,
-  mayForget,
-  mayForgetOrphans,
-  type TaskAllocations,
-} from '../allocation/index.js';
+import { isResultUnstored, mayForget, mayForgetOrphans, type TaskAllocations } from '../allocation/index.js';
 import type { ClusterStateView } from '../context/index.js';
 import {
   type Allocation,
@@ -21,8 +14,8 @@
   type Milliseconds,
   type Resources,
   subtract,
-  type TokenRaise,
 } from '../model/index.js';
+import { areForgetsDue } from './forget-commands.js';
 import { clearOrphanedTask, forgetCommand, startCommand, stopCommand } from './task-commands.js';
 
 /** Starts are added to a message only while it has at most this many commands. */
@@ -34,12 +27,6 @@
 /** Minimum interval between messages to a machine whose starts all have the lowest priority. */
 const LOW_PRIORITY_START_INTERVAL_MS = 1000;
 
-/**
- * Finished tasks are forgotten with the next start or stop, or once the worker reports this many of them. Each takes about 40
- * bytes of every heartbeat, and a higher fencing token takes a write.
- */
-const MAX_FINISHED_TASKS = 32;
-
 const NO_RESOURCES: Readonly<Resources> = { cpus: 0, gpus: 0, memory: 0 };
 
 /** The contents of one message to a machine. */
@@ -54,19 +41,19 @@
  * stops that it returns count as sent, so the caller must send them.
  */
 export function composeCommands(
-  { clusterState }: ClusterStateView,
+  context: ClusterStateView,
   allocations: TaskAllocations,
   machine: Machine,
   now: Milliseconds,
 ): MachineCommands | null {
   const free = capacityOf(machine);
-  const fencingToken = clusterState.fencingToken(machine);
+  const fencingToken = context.clusterState.fencingToken(machine);
   const commands = orphanCommands(machine, fencingToken);
   addStopsAndForgets(commands, machine, free, fencingToken, now);
   const starts = allocations.startFreshness.mayStart(now) ? addStarts(commands, allocations, machine, free) : [];
   if (commands.length === 0) return null;
   const areAllForgets = starts.length === 0 && commands.every(({ type }) => type === 'forget');
-  if (areAllForgets ? !areForgetsDue(clusterState, machine) : canDefer(machine, commands, starts, now)) return null;
+  if (areAllForgets ? !areForgetsDue(context, machine) : canDefer(machine, commands, starts, now)) return null;
   return { commands, starts };
 }
 
@@ -74,43 +61,10 @@
  * Whether the machine has a task for which a command is due, now or later without a further change of its allocations, of its
  * orphaned tasks or of its fencing token.
  */
-export function hasCommandsDue({ clusterState }: ClusterStateView, machine: Machine): boolean {
+export function hasCommandsDue(context: ClusterStateView, machine: Machine): boolean {
   for (const { phase, stopGraceS } of machine.tenure.allocations.values())
     if (phase === 'planned' || phase === 'exited' || stopGraceS !== null) return true;
-  return machine.tenure.hasOrphanedWork || areForgetsDue(clusterState, machine);
-}
-
-/** Returns whether the machine's fencing token should rise so that its worker may forget exited tasks. */
-export function tokenRaiseToForget({ clusterState }: ClusterStateView, machine: Machine): TokenRaise {
-  const { tenure, moveToShard } = machine;
-  const fencingToken = clusterState.fencingToken(machine);
-  for (const allocation of tenure.allocations.values()) {
-    // The write of a move raises the token too.
-    if (moveToShard === null && isRestartAwaitingForget(allocation) && !mayForget(allocation, fencingToken)) return 'prompt';
-  }
-  if (tenure.orphanedTasks.length === 0 || mayForgetOrphans(machine, fencingToken)) return 'none';
-  if (hasUnfinishedOrphan(machine, clusterState)) return 'prompt';
-  return tenure.orphanedTasks.length >= MAX_FINISHED_TASKS ? 'background' : 'none';
-}
-
-/** Whether the task is to start again, and the worker has to forget this attempt before: it was told to stop, or has exited. */
-function isRestartAwaitingForget(allocation: Allocation): boolean {
-  const { phase, stopGraceS } = allocation;
-  if (phase === 'planned' || (phase !== 'exited' && stopGraceS === null)) return false;
-  return !isFinished(allocation) && !isResultUnstored(allocation);
-}
-
-/**
- * Whether a message is due that only has the worker forget tasks: a task can't restart before, or the worker reports many that
- * it may forget.
- */
-function areForgetsDue(clusterState: ClusterStateView['clusterState'], machine: Machine): boolean {
-  const { allocations, orphanedTasks } = machine.tenure;
-  const fencingToken = clusterState.fencingToken(machine);
-  for (const allocation of allocations.values())
-    if (allocation.phase === 'exited' && isRestartAwaitingForget(allocation) && mayForget(allocation, fencingToken)) return true;
-  if (!mayForgetOrphans(machine, fencingToken)) return false;
-  return orphanedTasks.length >= MAX_FINISHED_TASKS || hasUnfinishedOrphan(machine, clusterState);
+  return machine.tenure.hasOrphanedWork || areForgetsDue(context, machine);
 }
 
 /** Returns commands that stop the running tasks without an allocation, and have the worker forget the exited ones if it may. */
