--- a/packages/controller/src/shards/assignment-updates.ts
+++ b/packages/controller/src/shards/assignment-updates.ts
@@ -32,7 +32,7 @@
     private readonly allocations: TaskAllocations,
   ) {}
 
-  /** Assigns the machine, which must be empty, to the shard given by its `moveToShard`. */
+  /** Assigns the machine, which must be able to move (`canMove`), to the shard given by its `moveToShard`. */
   moveToShard(machine: Machine): void {
     const targetShard = machine.moveToShard;
     if (machine.assignmentWriteQueued || targetShard === null) return;
--- a/packages/controller/src/shards/shard-controller.ts
+++ b/packages/controller/src/shards/shard-controller.ts
@@ -165,8 +165,8 @@
       return;
     }
     if (hasChangedShard) {
-      // Earlier state of the machine is no longer valid. Only machines seen to be empty move between shards, so it has no
-      // unknown tasks.
+      // Earlier state of the machine is no longer valid. Only machines on which nothing runs move between shards, so it has no
+      // unknown tasks but exited ones.
       this.forgetAllocations(machine);
       this.beginTenure(machine, false, now);
     }
