At the fleet's limit a cheap idle machine gives way to one that a job waits for

Cause: cheap machines may stay idle for up to eight times idle_s. Change: while a request is left unsent for the limit, one machine at a time is retired after idle_s.

--- a/packages/controller/src/capacity/autoscaler.ts
+++ b/packages/controller/src/capacity/autoscaler.ts
@@ -64,6 +64,9 @@
   private readonly releases = new RecentReleases();
   private readonly provisioner: Provisioner;
 
+  /** whether the last round left a request unsent because the fleet has as many machines as it may have */
+  isBlockedByFleetLimit = false;
+
   constructor(
     private readonly context: AutoscalerContext,
     private readonly dependencies: AutoscalerDependencies,
@@ -150,9 +153,13 @@
     const arriving = this.arrivingMachines(now);
     let machineCount = this.context.clusterState.machines.size + arriving.length;
     let isFirst = true;
+    this.isBlockedByFleetLimit = false;
     for (const request of this.scaleOutRequests(shards, arriving, now)) {
       if (this.provisioner.isAtLimit) return;
-      if (maxMachines !== null && machineCount >= maxMachines) return;
+      if (maxMachines !== null && machineCount >= maxMachines) {
+        this.isBlockedByFleetLimit = true;
+        return;
+      }
       if (!isFirst && !request.urgent) continue;
       isFirst = false;
       const count = this.requestSize(request, machineCount, now);
--- a/packages/controller/src/leadership/idle-machine-scale-in.ts
+++ b/packages/controller/src/leadership/idle-machine-scale-in.ts
@@ -27,6 +27,8 @@
   highestPrice: number;
   /** maximum number of machines to retire in this round */
   maxMachines: number;
+  /** whether a machine that tasks wait for can't be provisioned because of the fleet's limit */
+  isBlockedByFleetLimit: boolean;
   /** revision of the leader lease */
   leaseRevision: number;
   now: Milliseconds;
@@ -42,22 +44,45 @@
   retireIdleMachines(round: ScaleInRound): void {
     const demands = [...round.shards.values()].flatMap((shard) => shard.demands);
     let remaining = round.maxMachines;
+    let mustMakeRoom = round.isBlockedByFleetLimit && !this.isRetirementPending();
     for (const shard of round.shards.values()) {
       for (const summary of shard.machines) {
         if (remaining <= 0) return;
-        const machine = this.context.clusterState.machines.get(summary.name);
-        if (!machine || !this.isRetirable(machine, summary, round.highestPrice)) continue;
-        if (this.hasPendingDemand(machine, demands)) continue;
+        // One machine at a time makes room, however cheap it is to keep.
+        const machine = this.retirableMachine(summary, mustMakeRoom ? null : round.highestPrice, demands);
+        if (machine === null) continue;
+        mustMakeRoom = false;
         remaining--;
         this.retire(machine, summary.idleS, round);
       }
     }
   }
 
-  /** Whether the machine has been idle for long enough, and has no tasks, pending move, retirement or protected priority. */
-  private isRetirable(machine: Machine, summary: MachineSummary, highestPrice: number): boolean {
+  /** Returns the machine if it has been idle for long enough and no pending task could use it; null otherwise. */
+  private retirableMachine(
+    summary: MachineSummary,
+    highestPrice: number | null,
+    demands: readonly ResourceDemand[],
+  ): Machine | null {
+    const machine = this.context.clusterState.machines.get(summary.name);
+    if (!machine || !this.isRetirable(machine, summary, highestPrice)) return null;
+    return this.hasPendingDemand(machine, demands) ? null : machine;
+  }
+
+  /** Whether a retired machine is not released yet. */
+  private isRetirementPending(): boolean {
+    for (const machine of this.context.clusterState.machines.values()) if (machine.isRetired) return true;
+    return false;
+  }
+
+  /**
+   * Whether the machine has been idle for long enough, and has no tasks, pending move, retirement or protected priority.
+   * `highestPrice`: null if cheap machines may not stay idle for longer than others.
+   */
+  private isRetirable(machine: Machine, summary: MachineSummary, highestPrice: number | null): boolean {
     if (summary.tasks > 0 || machine.moveToShard !== null || machine.isRetired || summary.protectedPriority > 0) return false;
-    const idleLimitS = this.context.settings.policy.idleS * idleFactor(machine.capacity, machine.spot, highestPrice);
+    const factor = highestPrice === null ? 1 : idleFactor(machine.capacity, machine.spot, highestPrice);
+    const idleLimitS = this.context.settings.policy.idleS * factor;
     // Not `>=`: without any known price the limit is NaN, and the machine is retirable.
     return !(summary.idleS < idleLimitS);
   }
--- a/packages/controller/src/leadership/leader.ts
+++ b/packages/controller/src/leadership/leader.ts
@@ -199,6 +199,7 @@
       shards,
       highestPrice: Math.max(...this.autoscaler.instanceOptions().map((option) => option.type.price)),
       maxMachines: Math.floor(this.movesPerRound * RETIREMENTS_PER_MOVE),
+      isBlockedByFleetLimit: this.autoscaler.isBlockedByFleetLimit,
       leaseRevision,
       now,
     });
--- a/test/autoscaling.test.ts
+++ b/test/autoscaling.test.ts
@@ -126,3 +126,18 @@
     `${cluster.listRequests} lists of ${pages} pages in a minute`,
   );
 });
+
+// Cheap machines may stay idle for several times the idle time. At the fleet's limit they kept out a machine that a job waited for.
+test('a fleet at its limit with idle machines: a gang that fits none of them starts within four minutes', () => {
+  const cluster = new SimulatedCluster(undefined, (settings) => ({
+    ...settings,
+    policy: { ...settings.policy, holdSpareCapacity: false, idleS: 60, maxMachines: 6 },
+  }));
+  for (let index = 0; index < 6; index++) cluster.addMachine(`m${index}`, 'small', index % 2 === 0 ? 'east' : 'west');
+  cluster.runUntilSettled();
+  cluster.bootTimeMs = () => 5000;
+  cluster.submit(job('run-gang', { shape: 'gang', gpus: 8, cpus: 40, memory: 100, estimatedRunS: 300 }));
+  cluster.runUntil('the gang runs', () => cluster.runningTasks('run-gang') === 1, 240);
+  const dead = cluster.workers.filter((worker) => worker.dead).length;
+  assert.ok(dead <= 3, `${dead} machines were released for one`);
+});
