Known red: a late heartbeat of an earlier session, after an agent restarted with a lower one, frees what runs now

The trace: m3 reboots at 54.8 s, its session begins again with 1; two tasks start there at 61.7 s; at 69.2 s a copy of a heartbeat from before, with session 2, arrives, "worker lease expired" frees both tasks, and r9 gets their starts. No repeated command takes part.

--- a/test/heartbeats.test.ts
+++ b/test/heartbeats.test.ts
@@ -278,3 +278,28 @@
   );
   assert.equal(cluster.runningTasks('run-a'), 2);
 });
+
+// PROTOCOL's workers never begin again with a lower agent epoch; those of the random simulations do.
+test('a copy of a heartbeat from before a restart of the agent has a higher epoch: the tasks that run now do not count as lost', () => {
+  const cluster = smallCluster(4);
+  const worker = cluster.workers[0] as SimulatedWorker;
+  cluster.isCloudDown = true;
+  cluster.losesHeartbeats = (name) => name === worker.name;
+  cluster.losesCommands = (_controller, name) => name === worker.name;
+  cluster.runUntil('its lease expired', () => worker.agentEpoch === 2, 40);
+  const copy = worker.nextHeartbeat();
+  cluster.losesHeartbeats = () => false;
+  cluster.losesCommands = () => false;
+  cluster.run(5);
+  worker.reboot();
+  cluster.run(10);
+  cluster.submit(job('run-a', { tasks: 4, cpus: 4, estimatedRunS: 300 }));
+  cluster.runUntil('all machines run a task', () => cluster.runningTasks('run-a') === 4, 60);
+  cluster.run(5);
+
+  for (const node of cluster.controllers) deliverHeartbeatCopy(node, copy);
+  const holder = cluster.controller(holderOf(cluster, shardOf(cluster, 'run-a')));
+  assert.equal(holder.controller.clusterState.jobs.get('run-a')?.pendingCount(), 0, 'a task that runs is to be started again');
+  cluster.run(10);
+  assert.equal(cluster.runningTasks('run-a'), 4);
+});
