--- a/test/repeated-commands.test.ts
+++ b/test/repeated-commands.test.ts
@@ -157,6 +157,22 @@
   cluster.run(30);
 });
 
+// The job is unknown, so the attempt has no allocation. Its start had the token under which the controller started another task.
+test('a task without an allocation is stopped and forgotten: its start is not repeated', () => {
+  const cluster = twoMachines();
+  cluster.submit(job('run-a', { cpus: 1, estimatedRunS: 300 }));
+  cluster.runUntil('running', () => cluster.runningTasks('run-a') === 1);
+  const worker = workerRunning(cluster, 'run-a');
+  const unknown = { type: 'start', job: 'run-b', index: 0, attempt: 99 } as const;
+  cluster.specs.set('run-b', job('run-b', { team: 'blue', cpus: 1, estimatedRunS: 300 }));
+
+  worker.receiveCommands(worker.fencingToken, worker.agentEpoch, [unknown]);
+  cluster.runUntil('it is stopped', () => cluster.machinesRunning('run-b').length === 0, 20);
+  cluster.runUntil('it is forgotten', () => !worker.tasks.has('run-b/0/99'), 20);
+  cluster.run(20);
+  assert.equal(cluster.runningTasks('run-a'), 1);
+});
+
 test('the lease of a worker expires and its task runs elsewhere: no start is repeated in the next session', () => {
   const cluster = twoMachines();
   cluster.submit(job('run-a', { estimatedRunS: 200 }));
