Reproduce the incident: bodies that end a process, and submissions without a final answer

Callers saw controllers end again and again, and submissions that were never answered with 200, 201, 400 or 422.

test/costly-bodies.test.ts, on the built program with the heap flag of deploy/service.toml: 64 KiB of nested lists, each announced with 2^20 elements, end the process at the first body, from a user, a worker, the state service, the cloud or a worker's response. A peer message of 4 MiB of empty elements ends it too.

The simulated state service now refuses what PROTOCOL says: text that is not UTF-8, keys with spaces or over 200 bytes, binary values. The old suite could not see the fault because it took all.

--- /dev/null
+++ b/test/costly-bodies.test.ts
@@ -0,0 +1,100 @@
+// Small bodies that announce or contain much: the controller process, with the heap of deploy/service.toml, refuses them.
+
+import assert from 'node:assert/strict';
+import http from 'node:http';
+import net from 'node:net';
+import { type TestContext, test } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
+import { pack } from '@archpost/protocol';
+import { encodeFrame, MAX_FRAME_BYTES } from '../packages/peer-transport/src/frames.js';
+import { postBytes } from './loopback/http.js';
+import { type SingleController, singleController } from './loopback/single-controller.js';
+import { COSTLY_MALFORMED_BODIES, COSTLY_RESPONSES, peerMessageOfEmptyTasks } from './malformed-support/costly-bodies.js';
+import { SUBMISSION } from './malformed-support/request-bodies.js';
+import { waitForCount } from './scenarios/loopback-fixtures.js';
+
+/** With these limits the heap is that of the flag in deploy/service.toml. */
+const MEMORY_MB = 200;
+const SOCKETS = 400;
+
+const MACHINES = 4;
+
+const JOB = pack({ ...SUBMISSION, ref: 'run-accepted', shape: 'standing', guess_s: 0 });
+
+async function startedController(context: TestContext): Promise<SingleController> {
+  const setup = await singleController({ machines: MACHINES, memoryMb: MEMORY_MB, sockets: SOCKETS });
+  context.after(() => setup.close());
+  setup.controller.start();
+  setup.fleet.start();
+  await waitForCount('the controller is up', 1, async () => Number(await setup.controller.isUp()));
+  return setup;
+}
+
+function assertRuns({ controller }: SingleController, title: string): void {
+  const lastLines = controller.log.slice(-30).map(({ msg: message }) => message);
+  assert.equal(controller.ended, null, `${title}: the process has ended: ${lastLines.join('\n')}`);
+}
+
+test('users and workers: a body that announces more than it holds is answered with 400, and the process goes on', async (context) => {
+  const setup = await startedController(context);
+  const { publicAddress } = setup;
+  // Node's server reads the heartbeats of a connection whose first request was another one.
+  const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
+  context.after(() => agent.destroy());
+  for (const [title, body] of COSTLY_MALFORMED_BODIES) {
+    const statuses = [
+      await postBytes(publicAddress, '/v2/runs', body),
+      await postBytes(publicAddress, '/checkin', body),
+      await postBytes(publicAddress, '/checkin?first', body, agent),
+      await postBytes(publicAddress, '/checkin', body, agent),
+    ];
+    assertRuns(setup, title);
+    assert.deepEqual(statuses, [400, 400, 404, 400], title);
+  }
+  assert.equal(await postBytes(publicAddress, '/v2/runs', JOB), 201);
+});
+
+test('peers: a message of many empty elements is dropped, and the process goes on', async (context) => {
+  const setup = await startedController(context);
+  const { controller } = setup;
+  const [host, port] = controller.settings.peerAddress.split(':') as [string, string];
+  const unreadableCount = () => controller.log.filter(({ msg: message }) => message === 'unreadable peer message').length;
+  for (const bytes of [MAX_FRAME_BYTES / 4, MAX_FRAME_BYTES - 10]) {
+    const before = unreadableCount();
+    const socket = net.connect(Number(port), host, () => socket.write(encodeFrame(peerMessageOfEmptyTasks(bytes))));
+    socket.on('error', () => {});
+    context.after(() => socket.destroy());
+    await waitForCount('the message is dropped', before + 1, () => {
+      assertRuns(setup, `${bytes} bytes`);
+      return unreadableCount();
+    });
+  }
+  assert.equal(await postBytes(setup.publicAddress, '/v2/runs', JOB), 201);
+});
+
+/** Time for which a service sends unreadable responses; it has to cover several requests of each kind. */
+const UNREADABLE_MS = 1500;
+
+for (const service of ['state', 'cloud', 'fleet'] as const)
+  test(`${service}: unreadable responses that announce or contain much do not end the process, and it recovers`, async (context) => {
+    const setup = await startedController(context);
+    for (const [title, body] of COSTLY_RESPONSES) {
+      let replacedCount = 0;
+      setup[service].bodyReplacement = () => {
+        replacedCount++;
+        return body;
+      };
+      await postBytes(
+        setup.publicAddress,
+        '/v2/runs',
+        pack({ ...SUBMISSION, ref: `run-${COSTLY_RESPONSES.length}`, shape: 'standing' }),
+      );
+      await delay(UNREADABLE_MS);
+      assertRuns(setup, `${title}, ${replacedCount} responses`);
+    }
+    setup[service].bodyReplacement = () => null;
+    await waitForCount('the submission is accepted or known', 1, async () => {
+      const status = await postBytes(setup.publicAddress, '/v2/runs', JOB);
+      return Number(status === 200 || status === 201);
+    });
+  });
--- a/test/loopback/cloud-server.ts
+++ b/test/loopback/cloud-server.ts
@@ -1,7 +1,7 @@
 /** The cloud on loopback: machine types, a paged machine list and releases. It has no capacity to provision machines. */
 import type { MachineType } from '@archpost/protocol';
 import { TYPES } from '../simulation/fixtures.js';
-import { createServer, type LoopbackRequest, type LoopbackResponse, listen } from './http.js';
+import { type BodyReplacement, createServer, type LoopbackRequest, type LoopbackResponse, listen } from './http.js';
 
 /** Age that the list reports for every machine. */
 const MACHINE_AGE_S = 3600;
@@ -35,7 +35,12 @@
   readonly releasedMachines = new Set<string>();
   /** number of requests received */
   requestCount = 0;
-  private readonly server = createServer((request) => this.handle(request));
+  /** replaces the bodies of responses */
+  bodyReplacement: BodyReplacement = () => null;
+  private readonly server = createServer(
+    (request) => this.handle(request),
+    (path) => this.bodyReplacement(path),
+  );
 
   /** `machines` returns the machines sorted by name */
   constructor(private readonly machines: () => readonly ListedMachine[]) {}
--- a/test/loopback/http.ts
+++ b/test/loopback/http.ts
@@ -31,8 +31,14 @@
   });
 }
 
-/** Creates an HTTP server that serves requests with the handler; it is not listening yet. */
-export function createServer(handler: Handler): http.Server {
+/** Bytes that replace the body of the response to a request; null: the body is sent as it is. */
+export type BodyReplacement = (path: string) => Buffer | null;
+
+/**
+ * Creates an HTTP server that serves requests with the handler; it is not listening yet. `replacement` is asked before each
+ * response.
+ */
+export function createServer(handler: Handler, replacement: BodyReplacement = () => null): http.Server {
   return http.createServer({ keepAliveTimeout: 60_000 }, async (request, response) => {
     try {
       const url = new URL(request.url ?? '/', 'http://loopback');
@@ -43,7 +49,7 @@
         body: unpackMap(await readBody(request)) ?? {},
         to: request.socket.localAddress ?? '',
       });
-      const bytes = pack(body);
+      const bytes = replacement(url.pathname) ?? pack(body);
       response.writeHead(status, { 'content-type': 'application/msgpack', 'content-length': bytes.length });
       response.end(bytes);
     } catch {
@@ -60,3 +66,27 @@
     server.listen(0, '127.0.0.1', () => resolve(`127.0.0.1:${(server.address() as AddressInfo).port}`));
   });
 }
+
+/** Sends a POST request with these bytes. Resolves with the status code of the response; null: there was none. */
+export function postBytes(address: string, path: string, bytes: Uint8Array, agent?: http.Agent): Promise<number | null> {
+  const [host, port] = address.split(':') as [string, string];
+  return new Promise((resolve) => {
+    const headers = { 'content-length': bytes.length };
+    const request = http.request({
+      host,
+      port: Number(port),
+      method: 'POST',
+      path,
+      headers,
+      timeout: 5000,
+      ...(agent && { agent }),
+    });
+    request.on('timeout', () => request.destroy());
+    request.on('error', () => resolve(null));
+    request.on('response', (response) => {
+      response.resume();
+      response.on('end', () => resolve(response.statusCode ?? null));
+    });
+    request.end(bytes);
+  });
+}
--- a/test/loopback/state-server.ts
+++ b/test/loopback/state-server.ts
@@ -1,7 +1,7 @@
 /** The simulated state service with the HTTP interface of PROTOCOL, on loopback. */
 import type { KeyWrite, RevisionCondition } from '@archpost/protocol';
 import { SimulatedStateService } from '../simulation/state-service.js';
-import { createServer, type LoopbackRequest, type LoopbackResponse, listen } from './http.js';
+import { type BodyReplacement, createServer, type LoopbackRequest, type LoopbackResponse, listen } from './http.js';
 
 const MAX_ROWS_PER_PAGE = 1000;
 const LEASE_EXPIRY_INTERVAL_MS = 50;
@@ -21,7 +21,12 @@
 /** Serves the state service's HTTP interface on a free port. */
 export class StateServer {
   readonly state = new SimulatedStateService();
-  private readonly server = createServer((request) => this.handle(request));
+  /** replaces the bodies of responses */
+  bodyReplacement: BodyReplacement = () => null;
+  private readonly server = createServer(
+    (request) => this.handle(request),
+    (path) => this.bodyReplacement(path),
+  );
   private readonly watchers = new Set<() => void>();
   private readonly expiryTimer = setInterval(() => this.applyStep(() => this.state.expire(Date.now())), LEASE_EXPIRY_INTERVAL_MS);
 
--- a/test/loopback/worker-fleet.ts
+++ b/test/loopback/worker-fleet.ts
@@ -3,7 +3,7 @@
 import net from 'node:net';
 import { pack, unpackMap } from '@archpost/protocol';
 import type { ListedMachine } from './cloud-server.js';
-import { createServer, type LoopbackRequest, type LoopbackResponse } from './http.js';
+import { type BodyReplacement, createServer, type LoopbackRequest, type LoopbackResponse } from './http.js';
 
 const NEXT_CONTROLLER_DELAY_MS = 1000;
 const CHANGE_HEARTBEAT_DELAY_MS = 500;
@@ -166,10 +166,15 @@
   private readonly byAddress = new Map<string, LoopbackWorker>();
   private readonly listeners: net.Server[] = [];
   private readonly agent = new http.Agent({ keepAlive: true });
-  private readonly server = createServer((request) => {
-    const worker = this.byAddress.get(request.to);
-    return worker ? worker.handle(request) : { status: 404, body: {} };
-  });
+  /** replaces the bodies of responses of all workers */
+  bodyReplacement: BodyReplacement = () => null;
+  private readonly server = createServer(
+    (request) => {
+      const worker = this.byAddress.get(request.to);
+      return worker ? worker.handle(request) : { status: 404, body: {} };
+    },
+    (path) => this.bodyReplacement(path),
+  );
 
   /** `names` and `controllers`: the controllers' names and public addresses, in the same order */
   constructor(
--- a/test/simulation/controller.ts
+++ b/test/simulation/controller.ts
@@ -193,6 +193,11 @@
     delete body[omittedField];
     const awaits = this.cluster.awaits.get(spec.id);
     if (awaits) body.awaits = awaits;
+    this.submitBody(body, then);
+  }
+
+  /** Submits a body as it is. */
+  submitBody(body: Record<string, unknown>, then: (status: number, body: Record<string, unknown>) => void): void {
     this.enqueueInput(() => this.controller.submitJob(this.addResponseHandler(then), body, this.cluster.now, this.cluster.now));
   }
 
--- a/test/simulation/state-service.ts
+++ b/test/simulation/state-service.ts
@@ -16,6 +16,22 @@
   writesPerS: number;
 }
 
+/** Keys that the service takes are of at most this size, in bytes. */
+const MAX_KEY_BYTES = 200;
+
+function isStorableKey(key: string): boolean {
+  return key.isWellFormed() && key.length > 0 && Buffer.byteLength(key) <= MAX_KEY_BYTES && !/\s/.test(key);
+}
+
+/** Whether the service takes a value: maps with text keys, lists, text (as UTF-8), numbers, booleans and null, nothing binary. */
+function isStorableValue(value: unknown): boolean {
+  if (typeof value === 'string') return value.isWellFormed();
+  if (typeof value !== 'object' || value === null) return true;
+  if (ArrayBuffer.isView(value)) return false;
+  if (Array.isArray(value)) return value.every(isStorableValue);
+  return Object.entries(value).every(([key, field]) => key.isWellFormed() && isStorableValue(field));
+}
+
 /** A strongly consistent key-value store with leases and a change log. */
 export class SimulatedStateService {
   revision = 1;
@@ -26,6 +42,8 @@
   /** number of transactions rejected by the rate limit, and of those rejected as too large */
   rateLimitedCount = 0;
   tooLargeCount = 0;
+  /** keys of the writes that the service can't take as they are */
+  readonly malformedKeys: string[] = [];
   /** length of the change log that a watch can resume from; a watch that is further behind requires a new snapshot */
   changesKept = Number.POSITIVE_INFINITY;
   /** number of pages of a snapshot; each page is read in a step of its own */
@@ -66,6 +84,11 @@
     transaction: Extract<Effect, { type: 'compareAndSwap' }>,
     now: number,
   ): { kind: 'invalid' } | { kind: 'limited' } | null {
+    const malformed = transaction.writes.filter(
+      (write) => 'put' in write && !(isStorableKey(write.put) && isStorableValue(write.value)),
+    );
+    this.malformedKeys.push(...malformed.map((write) => ('put' in write ? write.put : write.del)));
+    if (malformed.length > 0) return { kind: 'invalid' };
     if (!this.limits) return null;
     const { valueBytes, writesPerTransaction, writesPerS } = this.limits;
     const large = transaction.writes.some((write) => 'put' in write && JSON.stringify(write.value).length > valueBytes);
