--- a/test/malformed-support/costly-bodies.ts
+++ b/test/malformed-support/costly-bodies.ts
@@ -48,6 +48,19 @@
   ['lists in lists', Buffer.concat([Buffer.alloc(64 * 1024 - 1, 0x91), Buffer.from('c0', 'hex')])],
 ];
 
+/** Bodies whose decoded values take much for their size, most of them valid. */
+export const COSTLY_BODIES: [string, Buffer][] = [
+  ...COSTLY_MALFORMED_BODIES,
+  ['empty maps', listOf(Buffer.from([0x80]), 64 * 1024)],
+  ['maps in maps', Buffer.concat([repeated(Buffer.from('81a0', 'hex'), 64 * 1024 - 1), Buffer.from('c0', 'hex')])],
+  [
+    'maps with a digit for a key, in maps',
+    Buffer.concat([repeated(Buffer.from('8109', 'hex'), 64 * 1024 - 1), Buffer.from('c0', 'hex')]),
+  ],
+  ['binary of no bytes', listOf(Buffer.from('c400', 'hex'), 64 * 1024)],
+  ['extensions', listOf(Buffer.from('d40100', 'hex'), 64 * 1024)],
+];
+
 /** Size limit of a page of the state service's keys. */
 const PAGE_BYTES = 512 * 1024;
 
