Lists from outside are refused at their first invalid element

boundedList validates 256 elements at a time, and ends at the first invalid chunk; it names the same element as before. It is used for each list of the protocols: tasks, machine types and dependencies of a submission, rows, changes, machines.

--- a/packages/protocol/src/cloud/machine-list.ts
+++ b/packages/protocol/src/cloud/machine-list.ts
@@ -1,5 +1,6 @@
 /** The cloud's list of machines. It is read in pages and lags behind the actual state of the cloud. */
 import * as z from 'zod';
+import { boundedList } from '../bounded-list.js';
 import type { MessagePackMap } from '../message-pack.js';
 import { PATHS } from '../paths.js';
 
@@ -27,7 +28,7 @@
 }
 
 const machineListOnWire = z.object({
-  hosts: z.array(
+  hosts: boundedList(
     z.object({
       ref: z.string(),
       address: z.string().nullish(),
--- a/packages/protocol/src/cloud/machine-types.ts
+++ b/packages/protocol/src/cloud/machine-types.ts
@@ -1,5 +1,6 @@
 /** The machine types that the cloud offers. */
 import * as z from 'zod';
+import { boundedList } from '../bounded-list.js';
 import type { MessagePackMap } from '../message-pack.js';
 
 /** A machine type and its current prices. Controllers store it under these field names. */
@@ -27,7 +28,7 @@
 const DEFAULT_BOOT_S = 60;
 
 const machineTypesOnWire = z.object({
-  builds: z.array(
+  builds: boundedList(
     z.object({
       name: z.string(),
       cores: z.number(),
@@ -38,7 +39,7 @@
       hourly: z.number().nullish(),
       spot_price: z.number().nullish(),
       boot_s: z.number().nullish(),
-      yards: z.array(z.string()).nullish(),
+      yards: boundedList(z.string()).nullish(),
     }),
   ),
 });
--- a/packages/protocol/src/cloud/provisioning.ts
+++ b/packages/protocol/src/cloud/provisioning.ts
@@ -1,5 +1,6 @@
 /** Requests to the cloud that provision and release machines. */
 import * as z from 'zod';
+import { boundedList } from '../bounded-list.js';
 import type { MessagePackMap } from '../message-pack.js';
 
 /** Maximum number of machines that the cloud provisions for one request. */
@@ -34,7 +35,7 @@
   hosts: string[];
 }
 
-const provisionedMachinesOnWire = z.object({ hosts: z.array(z.string()) });
+const provisionedMachinesOnWire = z.object({ hosts: boundedList(z.string()) });
 
 /** The error of a 503 response if the cloud has no capacity. A 503 response with any other error is an outage. */
 const NO_CAPACITY_ON_WIRE = 'no capacity';
--- a/packages/protocol/src/jobs/submission.ts
+++ b/packages/protocol/src/jobs/submission.ts
@@ -1,5 +1,6 @@
 /** A user's request to run a job. */
 import * as z from 'zod';
+import { boundedList } from '../bounded-list.js';
 import type { MessagePackMap } from '../message-pack.js';
 import type { JobSpec, Shape } from './job-spec.js';
 
@@ -31,7 +32,7 @@
   memory_gb: amountOnWire,
   bundle: nameOnWire,
   size_gb: amountOnWire,
-  builds: z.array(nameOnWire).max(MAX_MACHINE_TYPES).nullish(),
+  builds: boundedList(nameOnWire, MAX_MACHINE_TYPES).nullish(),
   yard: nameOnWire.nullish(),
   one_zone: z.boolean(),
   spread: z.boolean(),
@@ -40,7 +41,7 @@
   snapshot_s: amountOnWire,
   stow_s: amountOnWire,
   due_s: amountOnWire.nullish(),
-  awaits: z.array(z.string().regex(JOB_ID_PATTERN)).nullish(),
+  awaits: boundedList(z.string().regex(JOB_ID_PATTERN)).nullish(),
 });
 
 /** A job, and the ids of the jobs that it depends on, without duplicates. */
--- a/packages/protocol/src/state/key-reads.ts
+++ b/packages/protocol/src/state/key-reads.ts
@@ -1,5 +1,6 @@
 /** Reads of the state service's keys: all keys in pages, and the changes after a revision. */
 import * as z from 'zod';
+import { boundedList } from '../bounded-list.js';
 import type { MessagePackMap } from '../message-pack.js';
 import { PATHS } from '../paths.js';
 
@@ -37,14 +38,14 @@
 }
 
 const keyPageOnWire = z.object({
-  rows: z.array(z.object({ k: z.string(), v: z.unknown().optional(), stamp: z.number() })),
+  rows: boundedList(z.object({ k: z.string(), v: z.unknown().optional(), stamp: z.number() })),
   has_next: z.boolean().nullish(),
   ledger: z.number(),
 });
 
 const changesOnWire = z.object({
   ledger: z.number(),
-  log: z.array(
+  log: boundedList(
     z.object({ write: z.string().nullish(), remove: z.string().nullish(), v: z.unknown().optional(), stamp: z.number() }),
   ),
 });
--- a/packages/protocol/src/worker/heartbeat.ts
+++ b/packages/protocol/src/worker/heartbeat.ts
@@ -1,5 +1,6 @@
 /** Heartbeats of workers: the machine, its agent epoch and all tasks on the machine. */
 import * as z from 'zod';
+import { boundedList } from '../bounded-list.js';
 import type { MessagePackMap } from '../message-pack.js';
 
 /** `fetching`: waits for its image. `waiting`: waits for the other tasks of its gang. `saving`: saves after it was stopped. */
@@ -88,7 +89,7 @@
   tally: nonNegativeInteger,
   baton: nonNegativeInteger.nullish(),
   warning_s: z.number().nullish(),
-  pieces: z.array(taskStatusOnWire),
+  pieces: boundedList(taskStatusOnWire),
 });
 
 /** Parses a heartbeat. Returns null if a field is missing or invalid. */
--- a/test/message-pack.test.ts
+++ b/test/message-pack.test.ts
@@ -4,12 +4,13 @@
 import { test } from 'node:test';
 import v8 from 'node:v8';
 import vm from 'node:vm';
-import { decodeMap, hasValidTexts, pack, unpack } from '@archpost/protocol';
+import { decodeMap, hasValidTexts, pack, parseHeartbeat, parseSubmission, unpack } from '@archpost/protocol';
 import { Decoder } from '@msgpack/msgpack';
 import fc from 'fast-check';
 import { findStructureFault } from '../packages/protocol/src/message-pack-structure.js';
 import { COSTLY_BODIES } from './malformed-support/costly-bodies.js';
 import { resultOf } from './malformed-support/malformed-values.js';
+import { HEARTBEAT, SUBMISSION, TASK } from './malformed-support/request-bodies.js';
 
 /** Seed of the short runs in CI. */
 const SEED = 53;
@@ -110,3 +111,14 @@
     assert.ok(kept < ENGINE_BYTES, `${title}, ${kind}: ${kept} bytes`);
   }
 });
+
+test('a list is refused at its first invalid element, which is named, and too long a list before its elements are read', () => {
+  const many = <T>(value: T, count: number): T[] => Array(count).fill(value);
+  const fieldOf = (field: string, value: unknown) => parseSubmission({ ...SUBMISSION, [field]: value });
+  assert.deepEqual(fieldOf('awaits', [...many('run-a', 1000), 7, 8]), { field: 'awaits.1000' });
+  assert.deepEqual(fieldOf('builds', ['small', '', 7]), { field: 'builds.1' });
+  assert.deepEqual(fieldOf('builds', many(7, 65)), { field: 'builds' });
+  assert.deepEqual(fieldOf('awaits', {}), { field: 'awaits' });
+  assert.equal(parseHeartbeat({ ...HEARTBEAT, pieces: many(TASK, 1000) })?.tasks.length, 1000);
+  assert.equal(parseHeartbeat({ ...HEARTBEAT, pieces: [...many(TASK, 1000), {}] }), null);
+});
