Peer messages with more elements than any controller sends are dropped

The elements are counted before the message is decoded; above 65,536 it is dropped with 'unreadable peer message', as any malformed one, and the link stays. A status of 4,000 machines has fewer than 13,000: at most one element for each machine in its shard, among the unassigned and among the unchanged.

--- a/packages/protocol/src/peer/peer-message.ts
+++ b/packages/protocol/src/peer/peer-message.ts
@@ -2,6 +2,7 @@
 import protobuf from 'protobufjs/light.js';
 import type { Heartbeat } from '../worker/heartbeat.js';
 import { heartbeatFields, restoreNulls, taskStatusFields, withoutNulls } from './forwarded-heartbeat.js';
+import { checkComplexity } from './peer-message-complexity.js';
 import {
   type PeerStatus,
   peerStatusFields,
@@ -40,6 +41,7 @@
     Message: { fields: messageFields },
   },
 });
+root.resolveAll();
 const Message = root.lookupType('Message');
 
 /** Missing fields get their defaults, missing repeated fields empty arrays, and 64-bit integers are converted to numbers. */
@@ -55,8 +57,12 @@
   }).finish();
 }
 
-/** Decodes a message. Throws if the bytes are malformed. Ignores unknown fields. */
+/**
+ * Decodes a message. Throws if the bytes are malformed, and PeerMessageTooComplexError if the message has too many elements.
+ * Ignores unknown fields.
+ */
 export function decodePeerMessage(bytes: Uint8Array): PeerMessage {
+  checkComplexity(Message, bytes);
   // The compiler checks the field tables against the model types, so a decoded message has the type PeerMessage.
   const message = Message.toObject(Message.decode(bytes), CONVERSION_OPTIONS) as PeerMessage;
   if (message.heartbeat) restoreNulls(message.heartbeat);
