A request with an invalid target or header name is answered with 400 by every Node.js 20

Callers saw: with Node 20.19 a header without a name, a space in a header's name and a byte that is not ASCII in a path were let through, with the answer of a valid request; with 20.20 they got 400 and a closed connection. README promises Node.js 20 or later.

The listener now checks the target and the names of each request of Node's server (the connections of workers have a parser of their own, which checks names).

--- a/packages/http-api/src/heartbeat-connection.ts
+++ b/packages/http-api/src/heartbeat-connection.ts
@@ -25,7 +25,7 @@
 }
 
 /** The response to a request that can't be parsed, the same as that of Node's HTTP server. */
-const BAD_REQUEST_RESPONSE = 'HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n';
+export const BAD_REQUEST_RESPONSE = 'HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n';
 
 /** Callbacks of a connection. */
 export interface HeartbeatConnectionOptions {
--- a/packages/http-api/src/http-listener.ts
+++ b/packages/http-api/src/http-listener.ts
@@ -4,7 +4,14 @@
  */
 import http from 'node:http';
 import net from 'node:net';
-import { HeartbeatConnection, IDLE_TIMEOUT_MS, isHeartbeatStart, REQUEST_TIMEOUT_MS } from './heartbeat-connection.js';
+import {
+  BAD_REQUEST_RESPONSE,
+  HeartbeatConnection,
+  IDLE_TIMEOUT_MS,
+  isHeartbeatStart,
+  REQUEST_TIMEOUT_MS,
+} from './heartbeat-connection.js';
+import { isHeadWellFormed } from './request-head.js';
 
 /** Callbacks of the listener. */
 export interface HttpListenerOptions {
@@ -26,7 +33,10 @@
     private readonly options: HttpListenerOptions,
     private readonly requestTimeoutMs = REQUEST_TIMEOUT_MS,
   ) {
-    this.httpServer = http.createServer({ connectionsCheckingInterval: requestTimeoutMs / 2 }, options.onOtherRequest);
+    this.httpServer = http.createServer({ connectionsCheckingInterval: requestTimeoutMs / 2 }, (request, response) => {
+      if (isHeadWellFormed(request)) options.onOtherRequest(request, response);
+      else request.socket.end(BAD_REQUEST_RESPONSE);
+    });
     this.httpServer.keepAliveTimeout = IDLE_TIMEOUT_MS;
     this.httpServer.requestTimeout = requestTimeoutMs;
     this.httpServer.headersTimeout = requestTimeoutMs;
--- a/packages/protocol/src/peer/peer-message-complexity.ts
+++ b/packages/protocol/src/peer/peer-message-complexity.ts
@@ -4,7 +4,7 @@
  */
 import protobuf from 'protobufjs/light.js';
 
-/** Maximum number of messages inside a peer message, at all levels. A status of 4,000 machines has a fifth of it. */
+/** Maximum number of messages inside a peer message, at all levels. A status of 4,000 machines has a third of it. */
 const MAX_ELEMENTS = 1 << 16;
 
 /** Wire type of fields with a length: strings and messages. */
