What the state service never takes is refused with 400, and a refused write ends in an answer

Callers saw: a submission with a lone surrogate in its image's name (bytes ed a0 80, as in the records) was answered with 503 at each of 42 repetitions, never with 200, 201, 400 or 422.

Cause: two checks of one text that differ. The decoder reads such bytes, and a submission's fields are checked by length alone, so the job was accepted and its record written; the state service refuses text that is not UTF-8. The writer dropped the write, and the submission took 'dropped' for 'no answer in time', which is answered with 503. Each refusal also took the transaction apart in which the write was: its neighbours were sent again one by one.

Now - a text field of a submission that UTF-8 can't encode is refused with 400 and the field's name, in each field: no version can have accepted the job; - a body with any other text that is not UTF-8 is refused with 400 after a newer read shows that its job isn't accepted; earlier versions took such text where it isn't stored, and an accepted job must not be answered 400; - a heartbeat whose machine can't be a key, or whose address, type or zone can't be stored, is refused with 400; - the writer doesn't send what the service never takes: keys with spaces or over 200 bytes, lone surrogates anywhere in a value; - a write that the service refuses for its content has the outcome 'rejected', and the submission behind it gets 400. If an earlier copy may have been applied, the caller gets 503 once more and its repetition 400.

The queue of submissions holds bytes, no decoded bodies, until each one is processed. Keys of rejected writes are remembered up to 1,000, not for ever.

--- a/packages/controller/src/controller-parts.ts
+++ b/packages/controller/src/controller-parts.ts
@@ -110,7 +110,7 @@
         leaseId: () => this.stateLease.leaseId,
         afterBarrier: (now, run) => this.context.afterBarrier(now, run),
         onLeaseLost: () => this.stateLease.invalidate(),
-        onTooLarge: (key, bytes) => this.effects.log('warn', 'write rejected as too large or invalid', { key, bytes }),
+        onRejected: (key, bytes) => this.effects.log('warn', 'write rejected as too large or invalid', { key, bytes }),
       },
     );
   }
--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -183,11 +183,12 @@
 
   /**
    * Called when a client submits a job. `body`: the parsed request body; null: it could not be parsed. `wallClockMs`: the time of
-   * day in milliseconds since 1970.
+   * day in milliseconds since 1970. `isTextValid`: whether all text of the body is UTF-8; if not, only an accepted job is answered
+   * with its status.
    */
-  submitJob(id: number, body: MessagePackMap | null, now: Milliseconds, wallClockMs: Milliseconds): void {
+  submitJob(id: number, body: MessagePackMap | null, now: Milliseconds, wallClockMs: Milliseconds, isTextValid = true): void {
     this.beginInput(now);
-    this.parts.clientRequests.submit(id, body, now, wallClockMs);
+    this.parts.clientRequests.submit(id, body, now, wallClockMs, isTextValid);
     this.flushWrites(now);
   }
 
--- a/packages/controller/src/jobs/acceptance-writer.ts
+++ b/packages/controller/src/jobs/acceptance-writer.ts
@@ -13,9 +13,14 @@
   | { kind: 'stored'; sentAt: Milliseconds }
   /** the job already has a record */
   | { kind: 'conflict' }
+  /** the state service never takes the job's record or parts as they are */
+  | { kind: 'rejected' }
   /** the state service did not answer in time: the job may or may not be stored */
   | { kind: 'unknown' };
 
+/** The outcome of storing the parts of an accepted job. */
+type PartsOutcome = 'stored' | 'rejected' | 'unknown';
+
 /** The parts of the controller's context that the acceptance writer uses. */
 type AcceptanceWriterContext = InputClock & ClusterStateView & ReplicaView & StateWriting;
 
@@ -42,9 +47,9 @@
 
   /** Writes the parts and then the record, gives up at `expiresAt`, and calls `onOutcome` once. */
   store(job: string, encoded: EncodedJob, expiresAt: Milliseconds, onOutcome: (outcome: AcceptanceOutcome) => void): void {
-    this.storeParts(job, encoded, expiresAt, (areStored) => {
-      if (areStored) this.storeRecord(job, encoded.record, expiresAt, onOutcome);
-      else onOutcome({ kind: 'unknown' });
+    this.storeParts(job, encoded, expiresAt, (outcome) => {
+      if (outcome === 'stored') this.storeRecord(job, encoded.record, expiresAt, onOutcome);
+      else onOutcome({ kind: outcome });
     });
   }
 
@@ -62,15 +67,15 @@
     job: string,
     { parts, group }: EncodedJob,
     expiresAt: Milliseconds,
-    onOutcome: (areStored: boolean) => void,
+    onOutcome: (outcome: PartsOutcome) => void,
   ): void {
     const { replica, writer } = this.context;
     const missing = parts
       .map((part, index) => ({ part, key: StateKey.jobPart(job, group, index) }))
       .filter(({ key }) => replica.get(key) === null);
     let pendingCount = missing.length;
-    let hasFailed = false;
-    if (pendingCount === 0) return onOutcome(true);
+    let partsOutcome: PartsOutcome = 'stored';
+    if (pendingCount === 0) return onOutcome(partsOutcome);
     for (const { part, key } of missing) {
       writer.add({
         key,
@@ -78,11 +83,12 @@
         expectedRevision: NO_REVISION,
         priority: WritePriority.acceptance,
         expiresAt,
-        onOutcome: () => {
+        onOutcome: (outcome) => {
           // The key includes a digest of the parts, so an existing key holds the same part, whichever controller wrote it.
-          hasFailed ||= replica.get(key) === null;
+          if (outcome === 'rejected') partsOutcome = 'rejected';
+          else if (replica.get(key) === null && partsOutcome === 'stored') partsOutcome = 'unknown';
           pendingCount--;
-          if (pendingCount === 0) onOutcome(!hasFailed);
+          if (pendingCount === 0) onOutcome(partsOutcome);
         },
       });
     }
@@ -106,7 +112,7 @@
       expiresAt,
       onOutcome: (outcome) => {
         if (outcome === 'ok') onOutcome({ kind: 'stored', sentAt });
-        else onOutcome({ kind: outcome === 'conflict' ? 'conflict' : 'unknown' });
+        else onOutcome({ kind: outcome === 'dropped' ? 'unknown' : outcome });
       },
     });
   }
--- a/packages/controller/src/jobs/client-requests.ts
+++ b/packages/controller/src/jobs/client-requests.ts
@@ -49,12 +49,14 @@
 
   /**
    * Handles a submission. `body`: null if it isn't a MessagePack map. `wallClockMs`: the time of day in milliseconds since 1970.
+   * `isTextValid`: whether all text of the body is UTF-8.
    */
-  submit(id: number, body: MessagePackMap | null, now: Milliseconds, wallClockMs: number): void {
+  submit(id: number, body: MessagePackMap | null, now: Milliseconds, wallClockMs: number, isTextValid: boolean): void {
     this.responses.recordRequestOpened();
     const request = readSubmissionRequest(body);
-    if (request.kind === 'valid') this.submissions.submit(id, request.submission, now, wallClockMs);
-    else this.responses.respond(id, HttpStatus.badRequest, malformedSubmissionBody(request));
+    if (request.kind !== 'valid') this.responses.respond(id, HttpStatus.badRequest, malformedSubmissionBody(request));
+    else if (isTextValid) this.submissions.submit(id, request.submission, now, wallClockMs);
+    else this.submissions.refuseInvalidText(id, request.submission.spec.id, now);
   }
 
   /** Handles a cancellation. `job`: the id as the user wrote it; an id that no job can have is answered like an unknown one. */
--- a/packages/controller/src/jobs/response-bodies.ts
+++ b/packages/controller/src/jobs/response-bodies.ts
@@ -35,5 +35,11 @@
 /** The submission is rejected because a key or record with its names would exceed the state service's limits. */
 export const NAMES_TOO_LONG: ErrorBody = { error: 'its names are too long to be stored' };
 
+/** The submission is rejected because the state service doesn't take its content. */
+export const NOT_STORABLE: ErrorBody = { error: 'its content can not be stored' };
+
+/** The submission is rejected because its body has text that is not UTF-8. */
+export const INVALID_TEXT: ErrorBody = { error: 'the body has text that is not UTF-8' };
+
 /** Returns the body of a response with this error text. */
 export const errorBody = (error: string): ErrorBody => ({ error });
--- a/packages/controller/src/jobs/submissions.ts
+++ b/packages/controller/src/jobs/submissions.ts
@@ -5,7 +5,7 @@
 import { type AcceptanceOutcome, AcceptanceWriter } from './acceptance-writer.js';
 import { type ClientResponses, REQUEST_TIMEOUT_MS } from './client-responses.js';
 import { statusOf } from './job-status.js';
-import { errorBody, HttpStatus, NAMES_TOO_LONG, UnavailableReason } from './response-bodies.js';
+import { errorBody, HttpStatus, INVALID_TEXT, NAMES_TOO_LONG, NOT_STORABLE, UnavailableReason } from './response-bodies.js';
 import { findRejection, rejectionText } from './submission-validation.js';
 
 /** Within this time after a job's acceptance, no other response can have reported the job's end. */
@@ -38,6 +38,18 @@
     this.accept(id, submission, wallClockMs, now + REQUEST_TIMEOUT_MS);
   }
 
+  /**
+   * Refuses a submission whose body has text that is not UTF-8. If the job is accepted already, the response is its status: earlier
+   * versions accepted such text where it isn't stored.
+   */
+  refuseInvalidText(id: number, job: string, now: Milliseconds): void {
+    this.responses.afterBarrier(id, now, now + REQUEST_TIMEOUT_MS, () => {
+      const status = statusOf(this.context, job);
+      if (status) this.responses.respondJobStatus(id, job, status);
+      else this.responses.respond(id, HttpStatus.badRequest, INVALID_TEXT);
+    });
+  }
+
   /**
    * Rejects the submission if a newer read confirms the rejection: another controller may have accepted the job, or one of its
    * dependencies, a moment ago.
@@ -70,6 +82,8 @@
         return this.respondAccepted(id, job, outcome.sentAt);
       case 'conflict':
         return this.respondWithCurrentStatus(id, job);
+      case 'rejected':
+        return this.responses.respond(id, HttpStatus.badRequest, NOT_STORABLE);
       case 'unknown':
         return this.responses.respondUnavailable(id, UnavailableReason.stateServiceSilent);
       default:
--- a/packages/controller/src/state/state-writer.ts
+++ b/packages/controller/src/state/state-writer.ts
@@ -5,7 +5,7 @@
 import { isDeepStrictEqual } from 'node:util';
 import type { CompareAndSwapOutcome } from '@archpost/protocol';
 import { type Effect, type Milliseconds, NEVER } from '../model/index.js';
-import { encodedBytes, type StateSizeLimits } from './limits.js';
+import { encodedBytes, isStorable, type StateSizeLimits } from './limits.js';
 import type { Replica, ReplicaEntry } from './replica.js';
 import { type SentTransaction, TransactionsInFlight } from './transactions-in-flight.js';
 import { WriteBatch } from './write-batch.js';
@@ -41,14 +41,17 @@
   afterBarrier(now: Milliseconds, run: (now: Milliseconds) => void): void;
   /** Called when the state service reports that this controller's current lease has ended. */
   onLeaseLost(): void;
-  /** Called when a write was dropped because the service can't accept it. Called once for each key. */
-  onTooLarge(key: string, bytes: number): void;
+  /** Called when a write was dropped because the service never takes it. Called once for each key of the last ones. */
+  onRejected(key: string, bytes: number): void;
 }
 
-/** A batch, and the writes found during its selection that are too large for any batch. */
+/** Maximum number of keys whose rejection is remembered, so that it is reported once. */
+const MAX_REPORTED_KEYS = 1000;
+
+/** A batch, and the writes found during its selection that the service never takes. */
 interface BatchSelection {
   batch: WriteBatch;
-  oversize: QueuedWrite[];
+  unsendable: QueuedWrite[];
 }
 
 /**
@@ -61,7 +64,7 @@
   private readonly inFlight = new TransactionsInFlight();
   private readonly statistics = new WriteStatistics();
   private readonly budget: WriteBudget;
-  private readonly reportedTooLarge = new Set<string>();
+  private readonly reportedKeys = new Set<string>();
   private flushedAt: Milliseconds = 0;
   private expiryCheckedAt: Milliseconds = NEVER;
   private pausedUntil: Milliseconds = 0;
@@ -109,10 +112,10 @@
     if (now - this.expiryCheckedAt >= EXPIRY_CHECK_INTERVAL_MS) this.dropExpired(now);
     if (now < this.pausedUntil) return;
     while (this.queue.length > 0 && this.inFlight.count < MAX_CONCURRENT_TRANSACTIONS && this.budget.available >= 1) {
-      const { batch, oversize } = this.selectBatch(now);
-      for (const write of oversize) this.dropTooLarge(write);
+      const { batch, unsendable } = this.selectBatch(now);
+      for (const write of unsendable) this.reject(write);
       if (batch.writes.length > 0) this.send(batch, now);
-      else if (oversize.length === 0) return;
+      else if (unsendable.length === 0) return;
     }
   }
 
@@ -150,23 +153,23 @@
 
   // ---- sending
 
-  /** Removes from the queue the writes for the next transaction, and the writes that are too large for any transaction. */
+  /** Removes from the queue the writes for the next transaction, and the writes that the service never takes. */
   private selectBatch(now: Milliseconds): BatchSelection {
     const waiting = this.queue.inOrder(now);
     const batch = this.createBatch();
-    const oversize: QueuedWrite[] = [];
+    const unsendable: QueuedWrite[] = [];
     for (const write of waiting) {
       if (batch.isFull) break;
       if (!this.isSendable(write) || !batch.accepts(write)) continue;
       // A write that may already be applied is sent again with the same value, so that its first copy is recognized by it.
       if (!write.mayBeApplied) write.sentValue = write.value(now);
       const bytes = encodedBytes(write.key, write.sentValue);
-      if (!write.mayBeApplied && bytes > this.limits.maxWriteBytes) oversize.push(write);
-      else batch.add(write, bytes);
+      if (write.mayBeApplied || this.isTaken(write, bytes)) batch.add(write, bytes);
+      else unsendable.push(write);
     }
     for (const write of batch.writes) this.queue.remove(write);
-    for (const write of oversize) this.queue.remove(write);
-    return { batch, oversize };
+    for (const write of unsendable) this.queue.remove(write);
+    return { batch, unsendable };
   }
 
   private createBatch(): WriteBatch {
@@ -177,6 +180,11 @@
     return new WriteBatch({ writesPerTransaction, maxWrites, maxAcceptances });
   }
 
+  /** Whether the service takes the write as it is. `bytes`: its encoded size. */
+  private isTaken({ key, sentValue }: QueuedWrite, bytes: number): boolean {
+    return bytes <= this.limits.maxWriteBytes && isStorable(key, sentValue);
+  }
+
   private isSendable(write: QueuedWrite): boolean {
     if (this.inFlight.writesKey(write.key)) return false;
     return !write.attachedToLease || this.host.leaseId() !== null;
@@ -197,10 +205,11 @@
   }
 
   /** Drops a write that the service would reject, or has rejected. It is reported once for each key and not retried. */
-  private dropTooLarge(write: QueuedWrite): void {
-    if (!this.reportedTooLarge.has(write.key)) this.host.onTooLarge(write.key, encodedBytes(write.key, write.sentValue));
-    this.reportedTooLarge.add(write.key);
-    write.onOutcome('dropped');
+  private reject(write: QueuedWrite): void {
+    if (!this.reportedKeys.has(write.key)) this.host.onRejected(write.key, encodedBytes(write.key, write.sentValue));
+    if (this.reportedKeys.size >= MAX_REPORTED_KEYS) this.reportedKeys.clear();
+    this.reportedKeys.add(write.key);
+    write.onOutcome('rejected');
   }
 
   // ---- outcomes
@@ -227,13 +236,13 @@
 
   /**
    * Sends each write again alone, so that an invalid write does not block the others. An invalid write that was sent alone is
-   * dropped, or, if an earlier copy of it may be applied, resolved after a fresh read.
+   * rejected, or, if an earlier copy of it may be applied, resolved after a fresh read.
    */
   private handleInvalid(writes: readonly QueuedWrite[], now: Milliseconds): void {
     for (const write of writes) {
       if (writes.length > 1) this.queue.add({ ...write, sendAlone: true }, now);
       else if (write.mayBeApplied) this.host.afterBarrier(now, () => this.resolveFailedWrite(write));
-      else this.dropTooLarge(write);
+      else this.reject(write);
     }
   }
 
--- a/packages/controller/src/state/write-queue.ts
+++ b/packages/controller/src/state/write-queue.ts
@@ -32,9 +32,10 @@
 
 /**
  * `ok`: the key holds the write's value. `conflict`: it doesn't, because a condition failed or the lease has ended.
- * `dropped`: the write was discarded without being applied.
+ * `dropped`: the write expired before it was applied. `rejected`: the state service never takes it as it is, so a retry would fail
+ * as well.
  */
-export type WriteOutcome = 'ok' | 'conflict' | 'dropped';
+export type WriteOutcome = 'ok' | 'conflict' | 'dropped' | 'rejected';
 
 /** A requested write to one key. */
 export interface PendingWrite {
--- a/packages/http-api/src/http-api.ts
+++ b/packages/http-api/src/http-api.ts
@@ -17,8 +17,8 @@
 /** An admitted request. Its id is passed to `HttpApi.respond` to respond to it. */
 export type ApiRequest =
   | { kind: 'heartbeat'; id: number; heartbeat: Heartbeat }
-  /** `body`: null if it can't be decoded as a map */
-  | { kind: 'submit'; id: number; body: Record<string, unknown> | null }
+  /** `bytes`: the body, not decoded: a decoded one takes many times as much while the request waits. null: there is none */
+  | { kind: 'submit'; id: number; bytes: Buffer | null }
   | { kind: 'statusQuery'; id: number; job: string }
   | { kind: 'cancel'; id: number; job: string };
 
@@ -116,7 +116,7 @@
 
   private submit(response: http.ServerResponse, bytes: Buffer | null): void {
     const id = this.pendingRequests.add(new HttpResponder(response), 'user', null);
-    this.options.onRequest({ kind: 'submit', id, body: bytes && unpackMap(bytes) });
+    this.options.onRequest({ kind: 'submit', id, bytes });
   }
 
   private cancel(response: http.ServerResponse, job: string): void {
--- a/packages/http-api/src/index.ts
+++ b/packages/http-api/src/index.ts
@@ -2,3 +2,4 @@
 export { ConnectionLimiter } from './connection-limiter.js';
 export { type ApiRequest, HttpApi, type HttpApiOptions } from './http-api.js';
 export { LoadShedder } from './load-shedder.js';
+export { decodeSubmissionBody } from './submission-body.js';
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -19,5 +19,6 @@
 export * from './state/compare-and-swap.js';
 export * from './state/key-reads.js';
 export * from './state/lease.js';
+export { isKeyText } from './text.js';
 export * from './worker/commands.js';
 export * from './worker/heartbeat.js';
--- a/packages/protocol/src/jobs/submission.ts
+++ b/packages/protocol/src/jobs/submission.ts
@@ -2,6 +2,7 @@
 import * as z from 'zod';
 import { boundedList } from '../bounded-list.js';
 import type { MessagePackMap } from '../message-pack.js';
+import { isWellFormedText } from '../text.js';
 import type { JobSpec, Shape } from './job-spec.js';
 
 const SHAPE_FROM_WIRE = { sweep: 'array', gang: 'gang', standing: 'service' } as const satisfies Record<string, Shape>;
@@ -14,7 +15,7 @@
 const MAX_TASKS = 100_000;
 const MAX_MACHINE_TYPES = 64;
 
-const nameOnWire = z.string().min(1).max(MAX_NAME_LENGTH);
+const nameOnWire = z.string().min(1).max(MAX_NAME_LENGTH).refine(isWellFormedText);
 const amountOnWire = z.number().min(0).max(MAX_AMOUNT);
 
 /** The form of job ids. It allows their use in keys and paths without escaping. */
--- a/packages/protocol/src/worker/heartbeat.ts
+++ b/packages/protocol/src/worker/heartbeat.ts
@@ -2,6 +2,7 @@
 import * as z from 'zod';
 import { boundedList } from '../bounded-list.js';
 import type { MessagePackMap } from '../message-pack.js';
+import { isKeyText, isWellFormedText } from '../text.js';
 
 /** `fetching`: waits for its image. `waiting`: waits for the other tasks of its gang. `saving`: saves after it was stopped. */
 export type TaskState = 'fetching' | 'waiting' | 'running' | 'saving' | 'exited';
@@ -79,11 +80,21 @@
   saved: z.boolean().nullish(),
 });
 
+/** Size limit of a machine's name, which is part of keys of the state service. */
+const MAX_MACHINE_NAME_BYTES = 190;
+
+const MAX_ADDRESS_LENGTH = 100;
+
+const machineNameOnWire = z
+  .string()
+  .min(1)
+  .refine((name) => Buffer.byteLength(name) <= MAX_MACHINE_NAME_BYTES && isKeyText(name));
+
 const heartbeatOnWire = z.object({
-  host: z.string().min(1).max(190),
-  address: z.string().min(1).max(100),
-  build: z.string(),
-  yard: z.string(),
+  host: machineNameOnWire,
+  address: z.string().min(1).max(MAX_ADDRESS_LENGTH).refine(isWellFormedText),
+  build: z.string().refine(isWellFormedText),
+  yard: z.string().refine(isWellFormedText),
   loaners: z.boolean(),
   shift: nonNegativeInteger,
   tally: nonNegativeInteger,
--- a/packages/server/src/input-router.ts
+++ b/packages/server/src/input-router.ts
@@ -1,6 +1,6 @@
 /** Routes inputs of the controller to their queues: client requests, changes of the stored state, messages of peers. */
 import type { Controller } from '@archpost/controller';
-import type { ApiRequest, HttpApi } from '@archpost/http-api';
+import { type ApiRequest, decodeSubmissionBody, type HttpApi } from '@archpost/http-api';
 import { monotonicMs } from '@archpost/http-client';
 import type { PeerTransport } from '@archpost/peer-transport';
 import type { StateServiceClient } from '@archpost/state-client';
@@ -12,6 +12,12 @@
 /** `Retry-After` of requests that waited too long in their queue, in seconds. */
 const OVERLOADED_RETRY_S = 1;
 
+/** Decodes the body of a submission and passes it to the controller. */
+function submitJob(controller: Controller, id: number, bytes: Buffer | null): void {
+  const { map, fault } = decodeSubmissionBody(bytes);
+  controller.submitJob(id, map, monotonicMs(), Date.now(), fault !== 'invalid text');
+}
+
 /** Enqueues the inputs of the controller. Owns the subscriptions to the state service and to peers. */
 export class InputRouter {
   private readonly subscriptions = new Subscription();
@@ -46,7 +52,7 @@
       return;
     }
     inbox.enqueueMutation(() => {
-      if (request.kind === 'submit') controller.submitJob(request.id, request.body, monotonicMs(), Date.now());
+      if (request.kind === 'submit') submitJob(controller, request.id, request.bytes);
       else controller.cancelJob(request.id, request.job, monotonicMs());
     }, reject);
   }
--- a/test/malformed-support/http-exchange.ts
+++ b/test/malformed-support/http-exchange.ts
@@ -3,7 +3,8 @@
 import assert from 'node:assert/strict';
 import net from 'node:net';
 import type { TestContext } from 'node:test';
-import type { ApiRequest } from '@archpost/http-api';
+import type { Controller } from '@archpost/controller';
+import { type ApiRequest, decodeSubmissionBody } from '@archpost/http-api';
 import { unpack } from '@archpost/protocol';
 import { listeningHttpApi } from '../loopback/http-api-server.js';
 import { type SimulatedCluster, smallCluster } from '../simulation/index.js';
@@ -15,13 +16,18 @@
 /** Simulated seconds after which a request without a response fails the test. */
 const SIMULATED_RESPONSE_TIMEOUT_S = 10;
 
+function submitJob(controller: Controller, id: number, bytes: Buffer | null, now: number): void {
+  const { map, fault } = decodeSubmissionBody(bytes);
+  controller.submitJob(id, map, now, now, fault !== 'invalid text');
+}
+
 /** Passes a request to a controller of a simulated cluster and runs the cluster until the request is answered. */
 function deliverRequest(cluster: SimulatedCluster, request: ApiRequest, isAnswered: () => boolean): void {
   const { controller } = cluster.controller('n0');
   const id = FIRST_REQUEST_ID + request.id;
   const { now } = cluster;
   if (request.kind === 'heartbeat') controller.receiveHeartbeat(id, request.heartbeat, now);
-  else if (request.kind === 'submit') controller.submitJob(id, request.body, now, now);
+  else if (request.kind === 'submit') submitJob(controller, id, request.bytes, now);
   else if (request.kind === 'statusQuery') controller.queryJobStatus(id, request.job, now);
   else controller.cancelJob(id, request.job, now);
   cluster.controller('n0').applyEffects();
--- a/test/state-service-limits.test.ts
+++ b/test/state-service-limits.test.ts
@@ -69,7 +69,7 @@
       leaseId: () => null,
       afterBarrier: (now, run) => run(now),
       onLeaseLost: () => {},
-      onTooLarge: (key, bytes) => reported.push(`${key} ${bytes}`),
+      onRejected: (key, bytes) => reported.push(`${key} ${bytes}`),
     },
   );
   const add = (key: string, value: string) =>
@@ -88,7 +88,7 @@
   writer.flush(100);
   assert.deepEqual(sent, ['a/fits']);
   assert.deepEqual(reported, ['a/long 108', `a/${'k'.repeat(95)} 101`]);
-  assert.deepEqual(outcomes, ['a/long dropped', `a/${'k'.repeat(95)} dropped`, 'a/long dropped']);
+  assert.deepEqual(outcomes, ['a/long rejected', `a/${'k'.repeat(95)} rejected`, 'a/long rejected']);
 });
 
 test('a status that is stored for the leader and the images of a machine fit a value', () => {
--- a/test/state-writer.test.ts
+++ b/test/state-writer.test.ts
@@ -52,7 +52,7 @@
       leaseId: () => null,
       afterBarrier: (now, run) => run(now),
       onLeaseLost: () => {},
-      onTooLarge: () => {},
+      onRejected: () => {},
     },
   );
   writer.add({
@@ -86,7 +86,7 @@
       leaseId: () => null,
       afterBarrier: (_now, run) => run(now),
       onLeaseLost: () => {},
-      onTooLarge: () => {},
+      onRejected: () => {},
     },
   );
   const add = (kind: string, count: number, writePriority: number) => {
@@ -122,7 +122,7 @@
       leaseId: lease,
       afterBarrier: (now, run) => run(now),
       onLeaseLost: () => lostLeases.push(1),
-      onTooLarge: () => {},
+      onRejected: () => {},
     },
   );
   return { stateWriter, replica, sent, lostLeases };
@@ -175,7 +175,7 @@
         : { kind: 'ok', revision: 3 },
       20,
     );
-  assert.deepEqual(outcomes.sort(), ['a/big dropped', 'a/small ok']);
+  assert.deepEqual(outcomes.sort(), ['a/big rejected', 'a/small ok']);
   add('a/h/1', true);
   stateWriter.flush(30);
   lease = 6;
--- a/test/unstorable-content.test.ts
+++ b/test/unstorable-content.test.ts
@@ -68,7 +68,7 @@
       leaseId: () => null,
       afterBarrier: (now, run) => run(now),
       onLeaseLost: () => {},
-      onTooLarge: () => {},
+      onRejected: () => {},
     },
   );
   const add = (key: string, value: unknown) =>
@@ -115,7 +115,7 @@
 });
 
 /** A text field with bytes that are no UTF-8, in place of the text `img`. */
-const MALFORMED_TEXTS = ['eda080', '696dff', '69c080', 'e28282', '6d67e2'];
+const MALFORMED_TEXTS = ['eda080', '696dff', '69c080', 'e28228', '6d67e2'];
 
 test('a submission with text that is not UTF-8 is answered with 400 by a real process, beside others that are accepted', async (context) => {
   const setup = await singleController({ machines: 1, memoryMb: 200, sockets: 400 });
