The log says how many bodies are refused and why, at a limited rate

The records could not tell whose bodies ended the controllers, nor that submissions were refused by the state service: no line was written before an end, and each malformed heartbeat or peer message wrote a line of its own.

'malformed submissions refused' counts by what is malformed (body, text, content or a field's name), at most once in ten seconds. 'unreadable heartbeat' has the fault, and it and the lines of unreadable peer messages and responses are written at once for the first, then at most every ten seconds with a count. No line has the content of a body.

--- a/packages/controller/src/jobs/client-requests.ts
+++ b/packages/controller/src/jobs/client-requests.ts
@@ -7,6 +7,7 @@
   ClusterStateView,
   EffectSink,
   InputClock,
+  Logger,
   PeerDirectory,
   ReadBarrierSource,
   ReplicaView,
@@ -17,9 +18,9 @@
 import type { Milliseconds } from '../model/index.js';
 import { Cancellations } from './cancellations.js';
 import { ClientResponses } from './client-responses.js';
-import { HttpStatus } from './response-bodies.js';
+import { RefusedSubmissions } from './refused-submissions.js';
 import { StatusQueries } from './status-queries.js';
-import { malformedSubmissionBody, readSubmissionRequest } from './submission-request.js';
+import { readSubmissionRequest } from './submission-request.js';
 import { Submissions } from './submissions.js';
 
 /** The parts of the controller's context that user requests use. */
@@ -31,18 +32,21 @@
   StateFreshness &
   ReadBarrierSource &
   PeerDirectory &
-  EffectSink;
+  EffectSink &
+  Logger;
 
 /** The entry point for user requests. */
 export class ClientRequests {
   private readonly responses: ClientResponses;
+  private readonly refusedSubmissions: RefusedSubmissions;
   private readonly submissions: Submissions;
   private readonly cancellations: Cancellations;
   private readonly statusQueries: StatusQueries;
 
   constructor(context: ClientRequestsContext) {
     this.responses = new ClientResponses(context);
-    this.submissions = new Submissions(context, this.responses);
+    this.refusedSubmissions = new RefusedSubmissions(context);
+    this.submissions = new Submissions(context, this.responses, this.refusedSubmissions);
     this.cancellations = new Cancellations(context, this.responses);
     this.statusQueries = new StatusQueries(context, this.responses);
   }
@@ -54,7 +58,7 @@
   submit(id: number, body: MessagePackMap | null, now: Milliseconds, wallClockMs: number, isTextValid: boolean): void {
     this.responses.recordRequestOpened();
     const request = readSubmissionRequest(body);
-    if (request.kind !== 'valid') this.responses.respond(id, HttpStatus.badRequest, malformedSubmissionBody(request));
+    if (request.kind !== 'valid') this.submissions.refuse(id, request);
     else if (isTextValid) this.submissions.submit(id, request.submission, now, wallClockMs);
     else this.submissions.refuseInvalidText(id, request.submission.spec.id, now);
   }
@@ -84,6 +88,7 @@
   /** Refuses requests that have timed out. */
   tick(now: Milliseconds): void {
     this.responses.tick(now);
+    this.refusedSubmissions.tick(now);
     this.statusQueries.tick(now);
   }
 }
--- a/packages/controller/src/jobs/submission-request.ts
+++ b/packages/controller/src/jobs/submission-request.ts
@@ -9,6 +9,9 @@
   /** `field`: the path of the first invalid field, in wire names */
   | { kind: 'invalidField'; field: string };
 
+/** Why the body of a submission can't be parsed. */
+export type MalformedSubmission = Exclude<SubmissionRequest, { kind: 'valid' }>;
+
 /** Parses the body of a submission. `body` is null if it isn't a MessagePack map. */
 export function readSubmissionRequest(body: MessagePackMap | null): SubmissionRequest {
   if (!body) return { kind: 'notAMap' };
@@ -18,7 +21,7 @@
 }
 
 /** Returns the body of the response to a submission that can't be parsed. */
-export function malformedSubmissionBody(request: Exclude<SubmissionRequest, { kind: 'valid' }>): ErrorBody {
+export function malformedSubmissionBody(request: MalformedSubmission): ErrorBody {
   switch (request.kind) {
     case 'notAMap':
       return errorBody('the body is not a MessagePack map');
--- a/packages/controller/src/jobs/submissions.ts
+++ b/packages/controller/src/jobs/submissions.ts
@@ -5,7 +5,17 @@
 import { type AcceptanceOutcome, AcceptanceWriter } from './acceptance-writer.js';
 import { type ClientResponses, REQUEST_TIMEOUT_MS } from './client-responses.js';
 import { statusOf } from './job-status.js';
-import { errorBody, HttpStatus, INVALID_TEXT, NAMES_TOO_LONG, NOT_STORABLE, UnavailableReason } from './response-bodies.js';
+import type { MalformedPart, RefusedSubmissions } from './refused-submissions.js';
+import {
+  type ErrorBody,
+  errorBody,
+  HttpStatus,
+  INVALID_TEXT,
+  NAMES_TOO_LONG,
+  NOT_STORABLE,
+  UnavailableReason,
+} from './response-bodies.js';
+import { type MalformedSubmission, malformedSubmissionBody } from './submission-request.js';
 import { findRejection, rejectionText } from './submission-validation.js';
 
 /** Within this time after a job's acceptance, no other response can have reported the job's end. */
@@ -21,6 +31,7 @@
   constructor(
     private readonly context: SubmissionsContext,
     private readonly responses: ClientResponses,
+    private readonly refused: RefusedSubmissions,
   ) {
     this.acceptanceWriter = new AcceptanceWriter(context);
   }
@@ -38,6 +49,12 @@
     this.accept(id, submission, wallClockMs, now + REQUEST_TIMEOUT_MS);
   }
 
+  /** Refuses a submission that can't be parsed. */
+  refuse(id: number, request: MalformedSubmission): void {
+    const part = request.kind === 'notAMap' ? 'body' : { field: request.field };
+    this.respondMalformed(id, part, malformedSubmissionBody(request));
+  }
+
   /**
    * Refuses a submission whose body has text that is not UTF-8. If the job is accepted already, the response is its status: earlier
    * versions accepted such text where it isn't stored.
@@ -46,7 +63,7 @@
     this.responses.afterBarrier(id, now, now + REQUEST_TIMEOUT_MS, () => {
       const status = statusOf(this.context, job);
       if (status) this.responses.respondJobStatus(id, job, status);
-      else this.responses.respond(id, HttpStatus.badRequest, INVALID_TEXT);
+      else this.respondMalformed(id, 'text', INVALID_TEXT);
     });
   }
 
@@ -71,11 +88,16 @@
     if (this.responses.isOverloaded) return this.responses.respondUnavailable(id, UnavailableReason.overloaded);
     const job = submission.spec.id;
     const encoded = this.acceptanceWriter.encode(submission, wallClockMs);
-    if (!encoded) return this.responses.respond(id, HttpStatus.badRequest, NAMES_TOO_LONG);
+    if (!encoded) return this.respondMalformed(id, 'content', NAMES_TOO_LONG);
     const respondOnce = this.responses.respondOnce(id, expiresAt);
     this.acceptanceWriter.store(job, encoded, expiresAt, (outcome) => respondOnce(() => this.respondToOutcome(id, job, outcome)));
   }
 
+  private respondMalformed(id: number, part: MalformedPart, body: ErrorBody): void {
+    this.refused.count(part);
+    this.responses.respond(id, HttpStatus.badRequest, body);
+  }
+
   private respondToOutcome(id: number, job: string, outcome: AcceptanceOutcome): void {
     switch (outcome.kind) {
       case 'stored':
@@ -83,7 +105,7 @@
       case 'conflict':
         return this.respondWithCurrentStatus(id, job);
       case 'rejected':
-        return this.responses.respond(id, HttpStatus.badRequest, NOT_STORABLE);
+        return this.respondMalformed(id, 'content', NOT_STORABLE);
       case 'unknown':
         return this.responses.respondUnavailable(id, UnavailableReason.stateServiceSilent);
       default:
--- a/packages/http-api/src/http-api.ts
+++ b/packages/http-api/src/http-api.ts
@@ -5,7 +5,7 @@
  */
 import type http from 'node:http';
 import type net from 'node:net';
-import { type Heartbeat, MAX_BODY_BYTES, PATHS, pack, parseHeartbeat, unpackMap } from '@archpost/protocol';
+import { decodeMap, type Heartbeat, MAX_BODY_BYTES, type MapFault, PATHS, pack, parseHeartbeat } from '@archpost/protocol';
 import type express from 'express';
 import { type ClientKind, ConnectionLimiter } from './connection-limiter.js';
 import { createExpressApp } from './express-app.js';
@@ -36,6 +36,9 @@
 /** `Retry-After` of requests that are rejected under load, in seconds. */
 const OVERLOADED_RETRY_S = 1;
 
+/** Why a heartbeat can't be decoded. */
+export type HeartbeatFault = MapFault | 'too large' | 'invalid field';
+
 /** The callbacks and the limits of the interface. */
 export interface HttpApiOptions {
   /** called with each admitted request; the callee responds to it by `HttpApi.respond` */
@@ -44,7 +47,7 @@
   isReady(): boolean;
   loadShedder: LoadShedder;
   /** called with the client's address when a heartbeat can't be decoded */
-  onMalformedHeartbeat?(from: string): void;
+  onMalformedHeartbeat?(from: string, fault: HeartbeatFault): void;
   /** the default doesn't limit connections */
   connections?: ConnectionLimiter;
 }
@@ -140,10 +143,9 @@
 
   /** `bytes`: null if the body is too large. */
   private receiveHeartbeat(responder: Responder, bytes: Buffer | null, socket: net.Socket): void {
-    const body = bytes && unpackMap(bytes);
-    const heartbeat = body && parseHeartbeat(body);
-    if (!heartbeat) {
-      this.options.onMalformedHeartbeat?.(`${socket.remoteAddress}`);
+    const heartbeat = decodeHeartbeat(bytes);
+    if (typeof heartbeat === 'string') {
+      this.options.onMalformedHeartbeat?.(`${socket.remoteAddress}`, heartbeat);
       return this.send(responder, 400, { error: 'not a report' }, undefined, 'worker');
     }
     this.options.onRequest({ kind: 'heartbeat', id: this.pendingRequests.add(responder, 'worker', null), heartbeat });
@@ -186,3 +188,11 @@
     return this.lastEncodedBytes;
   }
 }
+
+/** Decodes a heartbeat, or returns why it can't be decoded. `bytes`: null if the body is too large. */
+function decodeHeartbeat(bytes: Buffer | null): Heartbeat | HeartbeatFault {
+  if (bytes === null) return 'too large';
+  const decoded = decodeMap(bytes);
+  if (decoded.kind === 'malformed') return decoded.fault;
+  return parseHeartbeat(decoded.map) ?? 'invalid field';
+}
--- a/packages/server/src/service-log.ts
+++ b/packages/server/src/service-log.ts
@@ -3,6 +3,7 @@
  * renamed one must be listed in docs/operations/renamed-log-messages.json.
  */
 import type { Effect } from '@archpost/controller';
+import type { HeartbeatFault } from '@archpost/http-api';
 import type { LinkProblem } from '@archpost/peer-transport';
 import type { Logger } from 'pino';
 import type { HeapPlan } from './heap-plan.js';
@@ -12,6 +13,13 @@
 /** The effect by which the controller emits a log event. */
 type ControllerLogEffect = Extract<Effect, { type: 'log' }>;
 
+/** A heartbeat that could not be decoded, without its content. */
+export interface MalformedHeartbeat {
+  /** address of the client */
+  from: string;
+  fault: HeartbeatFault;
+}
+
 /** Resource usage of the process. */
 export interface ProcessFigures {
   /** CPU time since the start of the process, in seconds */
@@ -47,24 +55,24 @@
     this.logger.error({ err: error }, 'failed to process an input');
   }
 
-  heartbeatMalformed(from: string): void {
-    this.logger.warn({ from }, 'unreadable heartbeat');
+  heartbeatMalformed(problem: MalformedHeartbeat, count: number): void {
+    this.logger.warn({ ...problem, count }, 'unreadable heartbeat');
   }
 
-  peerMessageUnreadable(problem: LinkProblem): void {
-    this.logger.warn(problem, 'unreadable peer message');
+  peerMessageUnreadable(problem: LinkProblem, count: number): void {
+    this.logger.warn({ ...problem, count }, 'unreadable peer message');
   }
 
   peerMessageNotSent(problem: LinkProblem): void {
     this.logger.error(problem, 'peer message too large to send');
   }
 
-  cloudResponseUnreadable(what: string): void {
-    this.logger.error({ what }, 'unreadable cloud response');
+  cloudResponseUnreadable(what: string, count: number): void {
+    this.logger.error({ what, count }, 'unreadable cloud response');
   }
 
-  stateResponseUnreadable(what: string): void {
-    this.logger.error({ what }, 'unreadable state service response');
+  stateResponseUnreadable(what: string, count: number): void {
+    this.logger.error({ what, count }, 'unreadable state service response');
   }
 
   clientRequestsRejected(rejected: { statusQueries: number; mutations: number }): void {
--- a/packages/server/src/service.ts
+++ b/packages/server/src/service.ts
@@ -4,17 +4,18 @@
 import { Controller } from '@archpost/controller';
 import { ConnectionLimiter, HttpApi, LoadShedder } from '@archpost/http-api';
 import { monotonicMs, parseAddress } from '@archpost/http-client';
-import { PeerTransport } from '@archpost/peer-transport';
+import { type LinkProblem, PeerTransport } from '@archpost/peer-transport';
 import { StateServiceClient } from '@archpost/state-client';
 import { WorkerClient } from '@archpost/worker-client';
-import { Subscription, throttleTime } from 'rxjs';
+import { Subscription } from 'rxjs';
 import { EffectExecutor } from './effect-executor.js';
 import { Inbox } from './inbox.js';
 import { InputRouter } from './input-router.js';
 import { LagMeter } from './lag-meter.js';
 import { MetricsReporter } from './metrics-reporter.js';
+import { RateLimitedReport } from './rate-limited-report.js';
 import { cloudRequestsPerS, stateLeaseMs, stateRequestsPerS } from './request-limits.js';
-import type { ServiceLog } from './service-log.js';
+import type { MalformedHeartbeat, ServiceLog } from './service-log.js';
 import type { Settings } from './settings/load-settings.js';
 import { maxCommandSockets, maxInboundSockets } from './sizing.js';
 import { TickTimer } from './tick-timer.js';
@@ -28,9 +29,6 @@
 /** Older requests are rejected: users' timeout is 2 s for a status query and 5 s for any other request. */
 const MAX_CLIENT_REQUEST_AGE_MS = 1500;
 
-/** A request with an unreadable response is retried immediately; such responses are logged at most once per this interval. */
-const UNREADABLE_LOG_INTERVAL_MS = 10_000;
-
 /** The prefix of all stored keys. */
 const STATE_KEY_PREFIX = 'a/';
 
@@ -132,11 +130,14 @@
   }
 
   private createApi(): HttpApi {
+    const malformedHeartbeats = new RateLimitedReport<MalformedHeartbeat>(monotonicMs, (problem, count) =>
+      this.log.heartbeatMalformed(problem, count),
+    );
     return new HttpApi({
       onRequest: (request) => this.inputRouter.receiveRequest(request),
       isReady: () => this.controller.isReady,
       loadShedder: this.loadShedder,
-      onMalformedHeartbeat: (from) => this.log.heartbeatMalformed(from),
+      onMalformedHeartbeat: (from, fault) => malformedHeartbeats.record({ from, fault }),
       connections: new ConnectionLimiter(maxInboundSockets(this.settings)),
     });
   }
@@ -149,10 +150,14 @@
 
   private subscribeLog(): void {
     const { log, logSubscriptions, peers, cloud, stateService } = this;
-    const throttled = throttleTime<string>(UNREADABLE_LOG_INTERVAL_MS);
-    logSubscriptions.add(peers.unreadable$.subscribe((problem) => log.peerMessageUnreadable(problem)));
+    const unreadableMessages = new RateLimitedReport<LinkProblem>(monotonicMs, (problem, count) =>
+      log.peerMessageUnreadable(problem, count),
+    );
+    const unreadableCloud = new RateLimitedReport<string>(monotonicMs, (what, count) => log.cloudResponseUnreadable(what, count));
+    const unreadableState = new RateLimitedReport<string>(monotonicMs, (what, count) => log.stateResponseUnreadable(what, count));
+    logSubscriptions.add(peers.unreadable$.subscribe((problem) => unreadableMessages.record(problem)));
     logSubscriptions.add(peers.unsent$.subscribe((problem) => log.peerMessageNotSent(problem)));
-    logSubscriptions.add(cloud.unreadable$.pipe(throttled).subscribe((what) => log.cloudResponseUnreadable(what)));
-    logSubscriptions.add(stateService.unreadable$.pipe(throttled).subscribe((what) => log.stateResponseUnreadable(what)));
+    logSubscriptions.add(cloud.unreadable$.subscribe((what) => unreadableCloud.record(what)));
+    logSubscriptions.add(stateService.unreadable$.subscribe((what) => unreadableState.record(what)));
   }
 }
