A body that arrives in many chunks takes no more than twice its bytes while it is received

BodyBuffer copies chunks into one buffer that doubles up to the limit of a body, at each of the three places that read bodies; Express's own reader kept chunks too and is replaced by a middleware with the same answers (recorded). A rejected request's body is dropped at once, not when its client closes.

test/costly-bodies.test.ts has the three places.

--- a/packages/http-api/src/express-app.ts
+++ b/packages/http-api/src/express-app.ts
@@ -3,8 +3,9 @@
  * requests bypass it, because Express would take several times as much CPU time as processing such a request (see `HttpApi`).
  */
 import type http from 'node:http';
-import { MAX_BODY_BYTES, PATHS } from '@archpost/protocol';
+import { PATHS } from '@archpost/protocol';
 import express from 'express';
+import { BodyTooLargeError, readRawBody } from './raw-body.js';
 
 const JOB_PATH = `${PATHS.jobs}/:id`;
 const CANCEL_PATH = `${JOB_PATH}/cancel`;
@@ -45,11 +46,10 @@
 }
 
 function addRoutes(app: express.Express, handlers: RouteHandlers): void {
-  const rawBody = express.raw({ type: () => true, limit: MAX_BODY_BYTES, inflate: false });
   app.get(PATHS.health, (_request, response) => handlers.health(response));
-  app.post(PATHS.jobs, rawBody, ({ body }, response) => handlers.submit(response, Buffer.isBuffer(body) ? body : null));
+  app.post(PATHS.jobs, readRawBody, ({ body }, response) => handlers.submit(response, Buffer.isBuffer(body) ? body : null));
   app.get(JOB_PATH, (request, response) => handlers.queryStatus(response, String(request.params.id)));
-  app.post(CANCEL_PATH, rawBody, (request, response) => handlers.cancel(response, String(request.params.id)));
+  app.post(CANCEL_PATH, readRawBody, (request, response) => handlers.cancel(response, String(request.params.id)));
 }
 
 function addRejections(app: express.Express, handlers: RouteHandlers): void {
@@ -62,10 +62,6 @@
   app.use((_request, response) => handlers.reject(response, 404, 'no such path'));
   // Express recognizes an error handler by its four parameters.
   app.use((error: unknown, _request: express.Request, response: express.Response, _next: express.NextFunction) => {
-    handlers.reject(response, 400, isBodyTooLarge(error) ? 'the body is too large' : 'malformed request');
+    handlers.reject(response, 400, error instanceof BodyTooLargeError ? 'the body is too large' : 'malformed request');
   });
 }
-
-function isBodyTooLarge(error: unknown): boolean {
-  return typeof error === 'object' && error !== null && 'status' in error && error.status === 413;
-}
--- a/packages/http-api/src/heartbeat-connection.ts
+++ b/packages/http-api/src/heartbeat-connection.ts
@@ -6,6 +6,7 @@
 import type net from 'node:net';
 import { MAX_BODY_BYTES, PATHS } from '@archpost/protocol';
 import { HTTPParser } from 'http-parser-js';
+import { BodyBuffer } from './body-buffer.js';
 import { hasUnambiguousLength } from './body-framing.js';
 import { encodeResponse, type HttpResponse, type Responder } from './responder.js';
 
@@ -38,8 +39,7 @@
 /** Owns its socket until the socket closes or is transferred to Node's HTTP server. */
 export class HeartbeatConnection implements Responder {
   private readonly parser = new HTTPParser(HTTPParser.REQUEST);
-  private bodyChunks: Buffer[] = [];
-  private bodyBytes = 0;
+  private readonly body = new BodyBuffer(MAX_BODY_BYTES);
   private state: 'idle' | 'reading' | 'responding' | 'rejected' = 'idle';
   /** whether the current request requires that the connection is closed after its response (`Connection: close`) */
   private isCloseRequested = false;
@@ -55,7 +55,7 @@
       this.isCloseRequested = !shouldKeepAlive;
       if (!hasUnambiguousLength(headers)) this.reject();
     };
-    parser[HTTPParser.kOnBody] = (chunk, offset, length) => this.appendBody(chunk.subarray(offset, offset + length));
+    parser[HTTPParser.kOnBody] = (chunk, offset, length) => this.body.append(chunk.subarray(offset, offset + length));
     parser[HTTPParser.kOnMessageComplete] = () => this.completeRequest();
     socket.on('data', this.receive);
     socket.on('close', this.handleClose);
@@ -101,25 +101,15 @@
   private reject(): void {
     if (this.state === 'rejected') return;
     this.state = 'rejected';
+    this.body.clear();
     this.socket.end(BAD_REQUEST_RESPONSE);
   }
 
-  /** Chunks beyond the size limit are counted but not stored. */
-  private appendBody(chunk: Buffer): void {
-    this.bodyBytes += chunk.length;
-    if (this.bodyBytes <= MAX_BODY_BYTES) this.bodyChunks.push(chunk);
-  }
-
   private completeRequest(): void {
-    const { bodyChunks, bodyBytes } = this;
     if (this.state === 'rejected') return;
     if (this.state === 'responding') return this.destroy();
     this.state = 'responding';
-    this.bodyChunks = [];
-    this.bodyBytes = 0;
-    if (bodyBytes > MAX_BODY_BYTES) return this.options.onHeartbeat(this, null);
-    const first = bodyChunks[0];
-    this.options.onHeartbeat(this, bodyChunks.length === 1 && first ? first : Buffer.concat(bodyChunks));
+    this.options.onHeartbeat(this, this.body.take());
   }
 
   /** Releases the socket, so that Node's HTTP server can serve the request that begins with this chunk. */
--- a/packages/http-api/src/http-api.ts
+++ b/packages/http-api/src/http-api.ts
@@ -7,6 +7,7 @@
 import type net from 'node:net';
 import { decodeMap, type Heartbeat, MAX_BODY_BYTES, type MapFault, PATHS, pack, parseHeartbeat } from '@archpost/protocol';
 import type express from 'express';
+import { BodyBuffer } from './body-buffer.js';
 import { type ClientKind, ConnectionLimiter } from './connection-limiter.js';
 import { createExpressApp } from './express-app.js';
 import { HttpListener } from './http-listener.js';
@@ -129,16 +130,9 @@
 
   /** Reads a heartbeat on a connection that Node's HTTP server serves, because its first request was not a heartbeat. */
   private readHeartbeat(request: http.IncomingMessage, response: http.ServerResponse): void {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    request.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      if (size <= MAX_BODY_BYTES) chunks.push(chunk);
-    });
-    request.on('end', () => {
-      const body = size <= MAX_BODY_BYTES ? Buffer.concat(chunks) : null;
-      this.receiveHeartbeat(new HttpResponder(response), body, request.socket);
-    });
+    const body = new BodyBuffer(MAX_BODY_BYTES);
+    request.on('data', (chunk: Buffer) => body.append(chunk));
+    request.on('end', () => this.receiveHeartbeat(new HttpResponder(response), body.take(), request.socket));
   }
 
   /** `bytes`: null if the body is too large. */
--- a/test/costly-bodies.test.ts
+++ b/test/costly-bodies.test.ts
@@ -35,6 +35,12 @@
   assert.equal(controller.ended, null, `${title}: the process has ended: ${lastLines.join('\n')}`);
 }
 
+/** Submits a job; a slow write is answered with the status of the job that is stored by then. */
+async function assertAccepts({ publicAddress }: SingleController): Promise<void> {
+  const status = await postBytes(publicAddress, '/v2/runs', JOB);
+  assert.ok(status === 201 || status === 200, `status ${status}`);
+}
+
 test('users and workers: a body that announces more than it holds is answered with 400, and the process goes on', async (context) => {
   const setup = await startedController(context);
   const { publicAddress } = setup;
@@ -51,7 +57,7 @@
     assertRuns(setup, title);
     assert.deepEqual(statuses, [400, 400, 404, 400], title);
   }
-  assert.equal(await postBytes(publicAddress, '/v2/runs', JOB), 201);
+  await assertAccepts(setup);
 });
 
 test('peers: a message of many empty elements is dropped, and the process goes on', async (context) => {
@@ -67,7 +73,7 @@
   }
   const unreadable = controller.log.find(({ msg: message }) => message === 'unreadable peer message');
   assert.match(String(unreadable?.error), /more than \d+ elements/);
-  assert.equal(await postBytes(setup.publicAddress, '/v2/runs', JOB), 201);
+  await assertAccepts(setup);
 });
 
 /** Time for which a service sends unreadable responses; it has to cover several requests of each kind. */
@@ -93,3 +99,31 @@
       return Number(status === 200 || status === 201);
     });
   });
+
+/** Connections that send a body in chunks of a byte at the same time; together they send less than 4 MB of body. */
+const SLOW_CONNECTIONS = 60;
+const CHUNKS = 60_000;
+
+for (const [title, path, earlierRequest] of [
+  ['submissions', '/v2/runs', ''],
+  ['heartbeats', '/checkin', ''],
+  ["heartbeats at Node's server", '/checkin', 'GET /up HTTP/1.1\r\nHost: c\r\n\r\n'],
+] as const)
+  test(`${title}: bodies that arrive in chunks of a byte on many connections do not end the process`, async (context) => {
+    const setup = await startedController(context);
+    const [host, port] = setup.publicAddress.split(':') as [string, string];
+    const head = `POST ${path} HTTP/1.1\r\nHost: c\r\nTransfer-Encoding: chunked\r\n\r\n`;
+    const bytes = Buffer.from(earlierRequest + head + '1\r\nx\r\n'.repeat(CHUNKS));
+    let sent = 0;
+    for (let count = 0; count < SLOW_CONNECTIONS; count++) {
+      const socket = net.connect(Number(port), host);
+      context.after(() => socket.destroy());
+      socket.on('error', () => {});
+      socket.write(bytes, () => sent++);
+    }
+    await waitForCount('all chunks are sent', SLOW_CONNECTIONS, () => {
+      assertRuns(setup, `${sent} connections sent`);
+      return sent;
+    });
+    await assertAccepts(setup);
+  });
