Known red: large responses of nested maps end a process

Responses to our own requests are read whole, whatever their size, and a page of 512 KiB of maps in maps, with a digit for a key, ends the process (heap of 112 MB): from the state service, the cloud and a worker.

--- a/test/malformed-support/costly-bodies.ts
+++ b/test/malformed-support/costly-bodies.ts
@@ -68,6 +68,12 @@
 export const COSTLY_RESPONSES: [string, Buffer][] = [
   ['nested lists', repeated(LIST_OF_A_MILLION, 64 * 1024)],
   ['maps with a number for a key', listOf(MAP_WITH_NUMBER_KEY, PAGE_BYTES)],
+  [
+    'maps with a digit for a key, in maps',
+    Buffer.concat([repeated(Buffer.from('8109', 'hex'), PAGE_BYTES), Buffer.from('c0', 'hex')]),
+  ],
+  ['lists in lists', Buffer.concat([repeated(Buffer.from('91', 'hex'), PAGE_BYTES), Buffer.from('c0', 'hex')])],
+  ['4 million empty maps', withEncodedField({ ledger: 1 }, 'log', listOf(Buffer.from([0x80]), 4 << 20))],
   ['wrong rows', withEncodedField({ ledger: 1 }, 'rows', listOf(Buffer.from([0x80]), PAGE_BYTES))],
   ['wrong changes', withEncodedField({ ledger: 1 }, 'log', listOf(Buffer.from([0x80]), PAGE_BYTES))],
   ['wrong machines', withEncodedField({}, 'hosts', listOf(Buffer.from([0x80]), PAGE_BYTES))],
