Responses are read up to 2 MiB and 131,072 lists and maps

BodyBuffer collects responses too (it moves to protocol), and a response beyond 2 MiB is dropped and its connection closed. The pass that counts announced values counts lists and maps as well: each takes up to 405 bytes of heap while it is decoded, however few bytes encode it, so 131,072 of them about 50 MB. A list of changes beyond the limits is replaced by the pages of keys, as after 410, since asking again would be answered the same; any other such response counts as unreadable, a transaction's as 'unknown'.

A body that arrives in one chunk is no longer copied, and bytes behind a rejected head are not kept.

--- a/packages/controller/src/state/limits.ts
+++ b/packages/controller/src/state/limits.ts
@@ -1,6 +1,6 @@
 /**
- * What the state service takes: the form of keys and texts, and size limits for values and transactions. The settings may announce future limits
- * (`params.state.next`) without a date, so sizes respect both the present and the announced limits.
+ * What the state service takes: the form of keys and texts, and size limits for values and transactions. The settings may announce
+ * future limits (`params.state.next`) without a date, so sizes respect both the present and the announced limits.
  */
 import { isKeyText } from '@archpost/protocol';
 import type { ControllerSettings } from '../model/index.js';
--- a/packages/http-api/src/heartbeat-connection.ts
+++ b/packages/http-api/src/heartbeat-connection.ts
@@ -4,9 +4,8 @@
  * directly to the parser, and sends a response with a single write.
  */
 import type net from 'node:net';
-import { MAX_BODY_BYTES, PATHS } from '@archpost/protocol';
+import { BodyBuffer, MAX_BODY_BYTES, PATHS } from '@archpost/protocol';
 import { HTTPParser } from 'http-parser-js';
-import { BodyBuffer } from './body-buffer.js';
 import { hasUnambiguousLength } from './body-framing.js';
 import { encodeResponse, type HttpResponse, type Responder } from './responder.js';
 
@@ -55,7 +54,9 @@
       this.isCloseRequested = !shouldKeepAlive;
       if (!hasUnambiguousLength(headers)) this.reject();
     };
-    parser[HTTPParser.kOnBody] = (chunk, offset, length) => this.body.append(chunk.subarray(offset, offset + length));
+    parser[HTTPParser.kOnBody] = (chunk, offset, length) => {
+      if (this.state !== 'rejected') this.body.append(chunk.subarray(offset, offset + length));
+    };
     parser[HTTPParser.kOnMessageComplete] = () => this.completeRequest();
     socket.on('data', this.receive);
     socket.on('close', this.handleClose);
--- a/packages/http-api/src/http-api.ts
+++ b/packages/http-api/src/http-api.ts
@@ -5,9 +5,17 @@
  */
 import type http from 'node:http';
 import type net from 'node:net';
-import { decodeMap, type Heartbeat, MAX_BODY_BYTES, type MapFault, PATHS, pack, parseHeartbeat } from '@archpost/protocol';
+import {
+  BodyBuffer,
+  decodeMap,
+  type Heartbeat,
+  MAX_BODY_BYTES,
+  type MapFault,
+  PATHS,
+  pack,
+  parseHeartbeat,
+} from '@archpost/protocol';
 import type express from 'express';
-import { BodyBuffer } from './body-buffer.js';
 import { type ClientKind, ConnectionLimiter } from './connection-limiter.js';
 import { createExpressApp } from './express-app.js';
 import { HttpListener } from './http-listener.js';
--- a/packages/http-api/src/raw-body.ts
+++ b/packages/http-api/src/raw-body.ts
@@ -2,9 +2,8 @@
  * Express middleware that reads the body of a request, undecoded and whatever its declared content type. Unlike Express's own, it
  * doesn't keep each received chunk (see `BodyBuffer`).
  */
-import { MAX_BODY_BYTES } from '@archpost/protocol';
+import { BodyBuffer, MAX_BODY_BYTES } from '@archpost/protocol';
 import type express from 'express';
-import { BodyBuffer } from './body-buffer.js';
 
 /** A body that is larger than MAX_BODY_BYTES. */
 export class BodyTooLargeError extends Error {
--- a/packages/http-client/src/http-exchange.ts
+++ b/packages/http-client/src/http-exchange.ts
@@ -3,11 +3,13 @@
  * its socket: until the socket is connected, nothing can have been sent.
  */
 import http from 'node:http';
+import { BodyBuffer, MAX_RESPONSE_BYTES } from '@archpost/protocol';
 import { monotonicMs } from './clock.js';
 
 /** The outcome of a call. Calls don't throw on network failures. */
 export type CallOutcome =
-  | { kind: 'response'; status: number; body: Buffer }
+  /** `body`: null if it is larger than MAX_RESPONSE_BYTES */
+  | { kind: 'response'; status: number; body: Buffer | null }
   /**
    * Nothing was sent, so the request can't be executed later. `isOwnDelay`: the server accepted the connection, but this process
    * was delayed and noticed it only after the deadline, so the failure is no evidence about the server.
@@ -100,15 +102,17 @@
   }
 
   private readResponse(response: http.IncomingMessage): void {
-    const chunks: Buffer[] = [];
-    response.on('data', (chunk: Buffer) => chunks.push(chunk));
+    const body = new BodyBuffer(MAX_RESPONSE_BYTES);
+    const settle = () => this.settle({ kind: 'response', status: response.statusCode ?? 0, body: body.take() });
+    response.on('data', (chunk: Buffer) => {
+      body.append(chunk);
+      if (!body.isTooLarge) return;
+      settle();
+      this.request.destroy();
+    });
     response.on('error', this.fail);
     response.on('aborted', this.fail);
-    response.on('end', () => {
-      const first = chunks[0];
-      const body = chunks.length === 1 && first ? first : Buffer.concat(chunks);
-      this.settle({ kind: 'response', status: response.statusCode ?? 0, body });
-    });
+    response.on('end', settle);
   }
 
   private readonly fail = (): void => {
--- a/packages/http-api/src/body-buffer.ts
+++ b/packages/protocol/src/body-buffer.ts
@@ -1,6 +1,6 @@
 /**
- * Collects the body of a request. A body may arrive in chunks of one byte, and a chunk that is kept as it arrived takes over a
- * hundred bytes, so chunks are copied into one buffer.
+ * Collects the body of a request or response. A body may arrive in chunks of one byte, and a chunk that is kept as it arrived takes
+ * over a hundred bytes, so chunks are copied into one buffer.
  */
 
 /** Smallest buffer that chunks are copied into; a full one is replaced by one of twice the size. */
@@ -17,7 +17,12 @@
   /** @param maxBytes maximum size of a body */
   constructor(private readonly maxBytes: number) {}
 
-  /** Adds a chunk of the body. */
+  /** Whether the body is larger than the limit. */
+  get isTooLarge(): boolean {
+    return this.buffer === null;
+  }
+
+  /** Adds a chunk of the body. The first one is not copied, because most bodies arrive in one. */
   append(chunk: Buffer): void {
     if (this.buffer === null) return;
     const bytes = this.bytes + chunk.length;
@@ -25,6 +30,12 @@
       this.buffer = null;
       return;
     }
+    if (this.bytes === 0) {
+      this.buffer = chunk;
+      this.bytes = bytes;
+      return;
+    }
+    // The first chunk is full, so what follows goes into another buffer.
     if (bytes > this.buffer.length) this.buffer = this.enlarged(this.buffer, bytes);
     chunk.copy(this.buffer, this.bytes);
     this.bytes = bytes;
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -3,6 +3,7 @@
  * holds a schema with the field names used on the wire, a model with descriptive names, and the mapping between the two. The
  * field names of the wire are used nowhere else.
  */
+export { BodyBuffer } from './body-buffer.js';
 export * from './body-limits.js';
 export * from './cloud/machine-list.js';
 export * from './cloud/machine-types.js';
--- a/packages/protocol/src/message-pack-structure.ts
+++ b/packages/protocol/src/message-pack-structure.ts
@@ -9,19 +9,21 @@
   /** the bytes end before the values that they announce; each announced value takes at least one byte */
   | 'truncated'
   /** bytes follow the value */
-  | 'trailing bytes';
+  | 'trailing bytes'
+  /** there are more lists and maps than the caller allows */
+  | 'too complex';
 
-/** What follows the header of a value. `BYTES` is anything that contains no values. */
+/** What follows the header of a value: bytes that are no values, text, or as many values for each element of a list or map. */
+const TEXT = -1;
 const BYTES = 0;
-const TEXT = 1;
-const LIST = 2;
-const MAP = 3;
+const LIST = 1;
+const MAP = 2;
 
 /** The type of an extension follows its header. */
 const EXTENSION_TYPE_BYTES = 1;
 
 /** How to read a value, by its first byte. The arrays are flat because a value is read in a few nanoseconds. */
-const CONTENT = new Uint8Array(0x100);
+const CONTENT = new Int8Array(0x100);
 /** length that is known from the first byte: of bytes and text in bytes, of lists and maps in elements */
 const KNOWN_LENGTH = new Uint8Array(0x100);
 /** size of the number that gives the rest of the length */
@@ -67,42 +69,51 @@
 /**
  * Checks that the bytes are exactly one value. Returns null if they are. Takes time in proportion to the bytes, and no memory.
  *
+ * @param maxContainers maximum number of lists and maps
  * @param visitText called with each text before the fault
  */
-export function findStructureFault(bytes: Uint8Array, visitText: TextVisitor | null = null): StructureFault | null {
+export function findStructureFault(
+  bytes: Uint8Array,
+  maxContainers = Number.POSITIVE_INFINITY,
+  visitText: TextVisitor | null = null,
+): StructureFault | null {
   let position = 0;
+  let containers = 0;
   for (let pendingValues = 1; pendingValues > 0; pendingValues--) {
     if (pendingValues > bytes.length - position) return 'truncated';
     const type = bytes[position++] as number;
-    const lengthBytes = LENGTH_BYTES[type] as number;
-    let length = KNOWN_LENGTH[type] as number;
-    if (lengthBytes > 0) {
-      length += readNumber(bytes, position, position + lengthBytes);
-      position += lengthBytes;
-    }
-    const content = CONTENT[type];
-    if (content === MAP) pendingValues += 2 * length;
-    else if (content === LIST) pendingValues += length;
-    else {
-      position += length;
-      if (content === TEXT) visitText?.(position - length, position);
+    const content = CONTENT[type] as number;
+    const length = (KNOWN_LENGTH[type] as number) + readNumber(bytes, position, LENGTH_BYTES[type] as number);
+    position += LENGTH_BYTES[type] as number;
+    if (content >= LIST) {
+      pendingValues += content * length;
+      containers++;
+      if (containers > maxContainers) return 'too complex';
+      continue;
     }
+    position += length;
+    if (content === TEXT) visitText?.(position - length, position);
   }
-  if (position === bytes.length) return null;
-  return position < bytes.length ? 'trailing bytes' : 'truncated';
+  return faultAtEnd(position, bytes.length);
+}
+
+/** Returns the fault of bytes whose values end at `position`. */
+function faultAtEnd(position: number, length: number): StructureFault | null {
+  if (position === length) return null;
+  return position < length ? 'trailing bytes' : 'truncated';
 }
 
-/** Reads a big-endian number. Bytes behind the end count as 0: the values behind them are then found to be missing. */
-function readNumber(bytes: Uint8Array, start: number, end: number): number {
+/** Reads a big-endian number of this size. Bytes behind the end count as 0: the values behind them are then found to be missing. */
+function readNumber(bytes: Uint8Array, start: number, size: number): number {
   let value = 0;
-  for (let index = start; index < end; index++) value = value * 0x100 + (bytes[index] ?? 0);
+  for (let index = start; index < start + size; index++) value = value * 0x100 + (bytes[index] ?? 0);
   return value;
 }
 
 /** Whether every text in the bytes, which must have no structure fault, is UTF-8. */
 export function hasValidTexts(bytes: Uint8Array): boolean {
   let isValid = true;
-  findStructureFault(bytes, (start, end) => {
+  findStructureFault(bytes, Number.POSITIVE_INFINITY, (start, end) => {
     isValid &&= isUtf8(bytes.subarray(start, end));
   });
   return isValid;
--- a/packages/protocol/src/message-pack.ts
+++ b/packages/protocol/src/message-pack.ts
@@ -40,9 +40,11 @@
 /**
  * Decodes a map. What it takes until it is known to be valid is in proportion to the bytes (docs/operations/sizing.md), and
  * nothing is kept of malformed bytes.
+ *
+ * @param maxContainers maximum number of lists and maps
  */
-export function decodeMap(bytes: Uint8Array): DecodedMap {
-  const fault = findStructureFault(bytes);
+export function decodeMap(bytes: Uint8Array, maxContainers = Number.POSITIVE_INFINITY): DecodedMap {
+  const fault = findStructureFault(bytes, maxContainers);
   if (fault !== null) return { kind: 'malformed', fault };
   try {
     const value = decode(bytes);
--- a/packages/state-client/src/compare-and-swap.ts
+++ b/packages/state-client/src/compare-and-swap.ts
@@ -9,7 +9,7 @@
   parseFailedKeys,
   parseRevision,
   type RevisionCondition,
-  unpackMap,
+  unpackResponse,
 } from '@archpost/protocol';
 import type { StateServiceConnection } from './state-service-connection.js';
 
@@ -28,8 +28,8 @@
   return outcomeOfResponse(outcome.status, outcome.body);
 }
 
-function outcomeOfResponse(status: number, bytes: Buffer): CompareAndSwapOutcome {
-  const body = unpackMap(bytes) ?? {};
+function outcomeOfResponse(status: number, bytes: Buffer | null): CompareAndSwapOutcome {
+  const body = unpackResponse(bytes) ?? {};
   switch (status) {
     case 200: {
       const revision = parseRevision(body);
--- a/packages/state-client/src/lease-renewer.ts
+++ b/packages/state-client/src/lease-renewer.ts
@@ -1,6 +1,6 @@
 /** This controller's lease on the state service, to which it attaches its keys. */
 import { type CallOutcome, Delay, monotonicMs } from '@archpost/http-client';
-import { encodeLeaseRequest, leaseRenewalPath, PATHS, pack, parseLeaseId, unpackMap } from '@archpost/protocol';
+import { encodeLeaseRequest, leaseRenewalPath, PATHS, pack, parseLeaseId, unpackResponse } from '@archpost/protocol';
 import { Subject } from 'rxjs';
 import type { StateServiceConnection } from './state-service-connection.js';
 
@@ -72,8 +72,8 @@
     return this.connection.post(leaseRenewalPath(this.leaseId), pack({}), CALL_TIMEOUT_MS);
   }
 
-  private acceptLease(body: Buffer, sentAt: number): number {
-    this.leaseId ??= parseLeaseId(unpackMap(body) ?? {});
+  private acceptLease(body: Buffer | null, sentAt: number): number {
+    this.leaseId ??= parseLeaseId(unpackResponse(body) ?? {});
     if (this.leaseId === null) return RETRY_MS;
     // The service measures the lease duration from the arrival of the request, which is not earlier than `sentAt`.
     const validUntil = sentAt + this.ttlMs * (1 - this.clockDrift) - SAFETY_MARGIN_MS;
--- a/packages/state-client/src/replica-reader.ts
+++ b/packages/state-client/src/replica-reader.ts
@@ -153,7 +153,8 @@
     await this.connection.budget.take();
     const asOf = monotonicMs();
     const response = await this.connection.get(changesPath(this.prefix, this.revision, waitMs), timeoutMs);
-    if (response?.status === 410) return 'compacted';
+    // The pages of keys are smaller than the changes may be.
+    if (response?.status === 410 || response?.isTooLarge) return 'compacted';
     const page = this.connection.parse(response, 'changes', parseChanges);
     if (!page) return 'failed';
     this.revision = Math.max(this.revision, page.revision);
--- a/packages/worker-client/src/worker-client.ts
+++ b/packages/worker-client/src/worker-client.ts
@@ -1,5 +1,13 @@
 /** Calls to workers at their own addresses. */
-import { type Command, encodeCommandRequest, type Heartbeat, PATHS, pack, parseHeartbeat, unpackMap } from '@archpost/protocol';
+import {
+  type Command,
+  encodeCommandRequest,
+  type Heartbeat,
+  PATHS,
+  pack,
+  parseHeartbeat,
+  unpackResponse,
+} from '@archpost/protocol';
 import { WorkerConnectionPool } from './worker-connection-pool.js';
 
 const PROBE_TIMEOUT_MS = 1500;
@@ -50,7 +58,7 @@
     });
     if (outcome.kind === 'notSent') return { kind: outcome.isOwnDelay ? 'withheld' : 'refused' };
     if (outcome.kind === 'unknown') return { kind: 'lost' };
-    const body = unpackMap(outcome.body);
+    const body = unpackResponse(outcome.body);
     if (outcome.status === 200) return { kind: 'ok', heartbeat: body && parseHeartbeat(body) };
     if (outcome.status === 409) return { kind: 'stale', heartbeat: body && parseHeartbeat(body) };
     return { kind: 'lost' };
--- a/test/stored-records.test.ts
+++ b/test/stored-records.test.ts
@@ -4,9 +4,11 @@
 import { test } from 'node:test';
 import { CloudClient } from '@archpost/cloud-client';
 import { Controller, encodeJobSpec, Replica } from '@archpost/controller';
+import { MAX_RESPONSE_BYTES, MAX_RESPONSE_CONTAINERS, pack } from '@archpost/protocol';
 import { StateServiceClient } from '@archpost/state-client';
 import { Inbox } from '../packages/server/src/inbox.js';
 import { createServer, listen } from './loopback/http.js';
+import { waitForCount } from './scenarios/loopback-fixtures.js';
 import { holderOf, job, settings, shardOf, smallCluster } from './simulation/index.js';
 
 test('unreadable records are skipped, and other records are not affected, also at a restart', () => {
@@ -237,3 +239,36 @@
   server.close();
   server.closeAllConnections();
 });
+
+test('a list of changes that is too large or too complex is replaced by the pages of the keys', async (context) => {
+  const tooLarge = Buffer.alloc(MAX_RESPONSE_BYTES + 1);
+  const tooComplex = pack({ ledger: 9, log: Array(MAX_RESPONSE_CONTAINERS).fill([]) });
+  for (const body of [tooLarge, tooComplex]) {
+    let changeRequests = 0;
+    const server = createServer(
+      ({ path }) => {
+        if (path === '/leases') return { status: 200, body: { permit: 1 } };
+        if (path === '/changes') return { status: 200, body: { ledger: 9, log: [] } };
+        return { status: 200, body: { rows: [{ k: 'a/1', v: 1, stamp: 9 }], has_next: false, ledger: 9 } };
+      },
+      // The changes since the first page are few, those of the first watch many.
+      (path) => (path === '/changes' && ++changeRequests === 2 ? body : null),
+    );
+    const store = new StateServiceClient({
+      address: await listen(server),
+      keyPrefix: 'a/',
+      requestsPerS: 100,
+      leaseMs: 5000,
+      clockDrift: 0.002,
+    });
+    context.after(() => {
+      store.close();
+      server.close();
+      server.closeAllConnections();
+    });
+    let snapshots = 0;
+    store.snapshot$.subscribe(() => snapshots++);
+    store.start();
+    await waitForCount('the keys are read again', 2, () => snapshots);
+  }
+});
--- a/test/unstorable-content.test.ts
+++ b/test/unstorable-content.test.ts
@@ -134,3 +134,23 @@
   }
   assert.deepEqual(setup.state.state.malformedKeys, []);
 });
+
+test('refused submissions are counted in the log by what is malformed, at most once in ten seconds and without their content', () => {
+  const cluster = smallCluster(4);
+  const counts: unknown[] = [];
+  cluster.onLog = (_controller, { message, fields }) => {
+    if (message === 'malformed submissions refused') counts.push(fields?.counts);
+  };
+  const body = submission(job('run-a'));
+  for (let index = 0; index < 3; index++) statusOfSubmission(cluster, { ...body, builds: ['small', LONE_SURROGATE] });
+  statusOfSubmission(cluster, { ...body, ref: LONE_SURROGATE });
+  cluster.run(25);
+  const total = new Map<string, number>();
+  for (const each of counts)
+    for (const [part, count] of Object.entries(each as object)) total.set(part, (total.get(part) ?? 0) + count);
+  assert.deepEqual([...total].sort(), [
+    ['field builds', 3],
+    ['field ref', 1],
+  ]);
+  assert.ok(counts.length <= 3);
+});
