Review, case 5: a late report of an earlier session frees what runs on a machine that is back, and it runs twice

A report counts as newer if its session is higher, although the holder has seen the worker begin again with a lower one.

Nothing of the program is changed.

--- a/review/stand-ins-2/cloud.mjs
+++ b/review/stand-ins-2/cloud.mjs
@@ -19,6 +19,8 @@
     this.baton = 0;
     this.node = Math.floor(Math.random() * cloud.nodes.length);
     this.isGone = false;
+    /** the reports that it has sent, for copies that arrive late */
+    this.sentReports = [];
     this.agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
     this.server = createServer((request) => this.handle(request), true);
     this.answeredSentAt = performance.now();
@@ -52,6 +54,16 @@
     while (performance.now() < (this.hangsUntil ?? 0)) await sleep(20);
   }
 
+  /** The machine stops with all that is on it and is back after `ms`: a new worker with the same name and address. */
+  async restart(ms) {
+    this.cloud.record.add(`machine ${this.machine.name} stops, and is back after ${ms} ms`);
+    for (const task of this.tasks.values()) this.end(task, 'gone');
+    this.tasks.clear();
+    this.hangsUntil = performance.now() + ms;
+    await this.afterHang();
+    Object.assign(this, { shift: 1, tally: 0, baton: 0, answeredSentAt: performance.now() });
+  }
+
   checkLease() {
     if (performance.now() < (this.hangsUntil ?? 0)) return;
     if (performance.now() - this.answeredSentAt <= this.cloud.leaseS * 1000) return;
@@ -81,7 +93,9 @@
       const { nodes, names, reportS } = this.cloud;
       const shift = this.shift;
       const sentAt = performance.now();
-      const response = await call(nodes[this.node], 'POST', '/checkin', this.report(), { timeoutMs: HEARTBEAT_TIMEOUT_MS, agent: this.agent });
+      const report = this.report();
+      this.sentReports.push(report);
+      const response = await call(nodes[this.node], 'POST', '/checkin', report, { timeoutMs: HEARTBEAT_TIMEOUT_MS, agent: this.agent });
       await this.afterHang();
       if (this.isGone) return;
       const home = response?.status === 421 ? names.indexOf(response.body.home) : -1;
