Review: a case that ends without a verdict exits with 2, and leaves no process behind

Cause: a script that failed to load exited with 1, which says that a rule was broken; a case that was told to end left its controllers.

--- a/review/stand-ins-2/case.mjs
+++ b/review/stand-ins-2/case.mjs
@@ -19,6 +19,14 @@
   const close = async () => {
     for (const closer of closers.reverse().splice(0)) await closer();
   };
+  // Whatever ends the case, nothing that it started outlives it.
+  const abandon = async (why) => {
+    record.add(`the case could not run: ${why}`);
+    await close();
+    process.exit(2);
+  };
+  for (const signal of ['SIGINT', 'SIGTERM']) process.on(signal, () => void abandon(signal));
+  for (const event of ['uncaughtException', 'unhandledRejection']) process.on(event, (error) => void abandon(error?.stack ?? error));
   record.add(`disruption: ${TROUBLE ? 'yes' : 'no (TROUBLE=0)'}`);
   let code;
   try {
