A late heartbeat of an earlier incarnation of an agent frees no task: fencing tokens tell the incarnations apart

Cause: epoch and sequence start over when a machine restarts, but a heartbeat with a higher epoch than the known one was taken for an expired lease, and freed what runs. Other hypotheses: missing tasks in the copy freed them (no such line: what is missing is asked for), the copy made the next probe miss (it did, "worker agent restarted" 30 ms later, but the tasks were free by then). The two lines have these fields now.

Change: the highest token that an agent has received never falls while it runs, so a heartbeat counts only if its token is not lower than that of the newest message. The token is raised after every restart that is noticed, not only after one with starts under it, so that all earlier incarnations have lower ones. Until that is stored, a higher epoch frees nothing: a repeat of a start may still be executed. An unverified machine's claims are compared in the same order, and a response that can't follow them shows a restart.

A real expiry keeps the token, so it still frees the tasks with the heartbeat that tells it, also on a machine that hears nothing: three tests, green on the sources before and now.

--- a/packages/controller/src/heartbeats/heartbeat-evaluation.ts
+++ b/packages/controller/src/heartbeats/heartbeat-evaluation.ts
@@ -4,8 +4,8 @@
  * Pure; owns no state.
  */
 import type { Heartbeat } from '@archpost/protocol';
-import type { HeartbeatPosition, MachineTenure, Milliseconds } from '../model/index.js';
-import { isNewer } from './heartbeat-order.js';
+import type { FencedPosition, MachineTenure, Milliseconds } from '../model/index.js';
+import { mayFollow } from './heartbeat-order.js';
 
 /**
  * Upper bound on the messages of a worker per second. A worker numbers its heartbeats, at most two per second, and its responses
@@ -21,8 +21,8 @@
   /** newer than all earlier messages of the worker: it counts. `hasGapBefore`: messages before it didn't reach this controller */
   | { readonly kind: 'accepted'; readonly hasGapBefore: boolean }
   /**
-   * a response that is not newer than the newest heartbeat received before its command was sent: the agent restarted, and none of
-   * its earlier tasks runs any more
+   * a response that can't follow the newest heartbeat received before its command was sent: the agent restarted, and none of its
+   * earlier tasks runs any more
    */
   | { readonly kind: 'agentRestarted' }
   /**
@@ -30,7 +30,7 @@
    * late copy
    */
   | { readonly kind: 'unverified' }
-  /** not newer than the newest message received: a late copy, or the agent restarted */
+  /** can't follow the newest message received: a late copy, perhaps of an earlier incarnation, or the agent restarted */
   | { readonly kind: 'stale' }
   /** the sequence is higher than the worker can have reached: a copy from before an agent restart, or many messages were lost */
   | { readonly kind: 'implausible' };
@@ -46,7 +46,7 @@
 /** Evaluates a heartbeat that the worker sent on its own. */
 export function evaluateHeartbeat(tenure: MachineTenure, heartbeat: Heartbeat, now: Milliseconds): HeartbeatEvaluation {
   if (!tenure.isVerified) return UNVERIFIED;
-  if (!isNewer(heartbeat, tenure)) return STALE;
+  if (!mayFollow(heartbeat, tenure)) return STALE;
   if (isImplausible(tenure, heartbeat.sequence, now)) return IMPLAUSIBLE;
   const hasGapBefore = heartbeat.agentEpoch === tenure.agentEpoch && heartbeat.sequence > tenure.sequence + 1;
   return hasGapBefore ? ACCEPTED_AFTER_GAP : ACCEPTED;
@@ -54,15 +54,15 @@
 
 /**
  * Evaluates the status in a command response. `positionAtSend`: the position of the newest heartbeat that was known when the
- * command was sent. A response is newer than that unless the agent restarted.
+ * command was sent. A response follows that unless the agent restarted.
  */
 export function evaluateCommandResponse(
   tenure: MachineTenure,
   response: Heartbeat,
-  positionAtSend: HeartbeatPosition,
+  positionAtSend: FencedPosition,
 ): HeartbeatEvaluation {
-  if (!isNewer(response, positionAtSend)) return AGENT_RESTARTED;
-  return isNewer(response, tenure) ? ACCEPTED : STALE;
+  if (!mayFollow(response, positionAtSend)) return AGENT_RESTARTED;
+  return mayFollow(response, tenure) ? ACCEPTED : STALE;
 }
 
 /** Whether the sequence is higher than the worker can have reached since its last heartbeat. False before its first heartbeat. */
--- a/packages/controller/src/heartbeats/heartbeat-reconciler.ts
+++ b/packages/controller/src/heartbeats/heartbeat-reconciler.ts
@@ -10,16 +10,15 @@
 import type { ClusterStateView, Logger, ReplicaView, SettingsView } from '../context/index.js';
 import {
   CANCELLED_WORK_PRIORITY,
-  type HeartbeatPosition,
+  type FencedPosition,
   type Machine,
   type Milliseconds,
   NO_REPORTED_PRIORITY,
-  NO_SEQUENCE,
   UNKNOWN_EPOCH,
 } from '../model/index.js';
 import type { HeartbeatReconciliation, ImageCacheWriter, ProgressWriter } from '../shards/index.js';
 import { evaluateCommandResponse, evaluateHeartbeat, isImplausible } from './heartbeat-evaluation.js';
-import { isNewer } from './heartbeat-order.js';
+import { isNewer, isNewerOfAnyIncarnation } from './heartbeat-order.js';
 import { TaskReconciler } from './task-reconciler.js';
 
 /** Minimum number of heartbeat intervals between two requests to probe a machine because its heartbeats are inconsistent. */
@@ -45,7 +44,7 @@
    * `positionAtSend`: the position of the newest heartbeat that was known when the command was sent. A missing task doesn't
    * refute a start that is in flight: the heartbeat or status may have been created before the start.
    */
-  reconcile(machine: Machine, heartbeat: Heartbeat, now: Milliseconds, positionAtSend: HeartbeatPosition | null = null): void {
+  reconcile(machine: Machine, heartbeat: Heartbeat, now: Milliseconds, positionAtSend: FencedPosition | null = null): void {
     this.allocations.advanceTo(now);
     const { tenure } = machine;
     const evaluation = positionAtSend
@@ -60,7 +59,7 @@
         if (positionAtSend === null) this.requestProbe(machine, now);
         return;
       case 'agentRestarted':
-        this.resetEpoch(machine);
+        this.recordAgentRestart(machine, heartbeat);
         return this.accept(machine, heartbeat, now, true);
       case 'accepted':
         // A message that the worker sent didn't reach this controller, so the responses may not reach the worker either.
@@ -101,12 +100,21 @@
   }
 
   /** Records only what a probe of an unverified machine depends on: the epoch that it is addressed to, and its priority. */
-  private recordUnverified({ tenure }: Machine, heartbeat: Heartbeat): void {
-    if (heartbeat.agentEpoch > tenure.agentEpoch) tenure.agentEpoch = heartbeat.agentEpoch;
+  private recordUnverified(machine: Machine, heartbeat: Heartbeat): void {
+    const { tenure } = machine;
+    this.recordUnverifiedPosition(machine, heartbeat);
     for (const task of heartbeat.tasks)
       tenure.reportedPriority = Math.max(tenure.reportedPriority, this.reportedPriorityOf(task.job));
   }
 
+  /**
+   * Records the newest position that an unverified machine has claimed. Its next response follows that position, unless another
+   * incarnation of the agent sent the claim.
+   */
+  private recordUnverifiedPosition({ tenure }: Machine, position: FencedPosition): void {
+    if (isNewerOfAnyIncarnation(position, tenure)) tenure.recordPosition(position);
+  }
+
   /** Returns the priority of a probe for a machine that reports tasks of the job. Cancelled tasks have to end in time. */
   private reportedPriorityOf(jobId: string): number {
     const { finishedJobs, jobs } = this.context.clusterState;
@@ -116,24 +124,31 @@
 
   /**
    * Handles a restart of the agent: none of its earlier tasks exists any longer, and its epoch and sequence start again. It has
-   * forgotten the attempts, so repeats of their starts could run them again until the fencing token was raised.
+   * forgotten the attempts, so repeats of their starts could run them again until the fencing token was raised. From then on a
+   * lower token also distinguishes late heartbeats of the earlier incarnation, which may have higher epochs.
    */
-  private resetEpoch(machine: Machine): void {
+  private recordAgentRestart(machine: Machine, response: Heartbeat): void {
     const { tenure } = machine;
-    this.context.log('info', 'worker agent restarted', { machine: machine.name });
+    this.context.log('info', 'worker agent restarted', {
+      machine: machine.name,
+      epoch: tenure.agentEpoch,
+      sequence: tenure.sequence,
+      token: tenure.fencingToken,
+      newEpoch: response.agentEpoch,
+      newSequence: response.sequence,
+      newToken: response.fencingToken,
+    });
     for (const allocation of tenure.allocations.values())
       if (allocation.phase !== 'planned') this.allocations.keepUntilTokenRaised(allocation);
-    if (machine.lastStartToken === this.context.clusterState.fencingToken(machine)) tenure.hasUncertainCommand = true;
-    tenure.agentEpoch = UNKNOWN_EPOCH;
-    tenure.sequence = NO_SEQUENCE;
+    tenure.recordAgentRestart();
   }
 
   private accept(machine: Machine, heartbeat: Heartbeat, now: Milliseconds, isCommandResponse: boolean): void {
     const { tenure } = machine;
     if (heartbeat.address) machine.address = heartbeat.address;
     this.recordContact(machine, now);
-    if (heartbeat.agentEpoch > tenure.agentEpoch) this.beginEpoch(machine, heartbeat.agentEpoch);
-    tenure.sequence = heartbeat.sequence;
+    if (heartbeat.agentEpoch > tenure.agentEpoch) this.beginEpoch(machine, heartbeat);
+    tenure.recordPosition(heartbeat);
     if (heartbeat.preemptionNoticeS !== null && tenure.preemptionNoticeUntil === null)
       this.recordPreemptionNotice(machine, heartbeat.preemptionNoticeS, now);
     const reportedKeys = this.reconcileTasks(machine, heartbeat.tasks, now);
@@ -157,16 +172,28 @@
 
   /**
    * Begins a new epoch of the agent. If another epoch was known, the worker's lease expired: the worker has killed and forgotten
-   * all tasks, and starts that were sent to the old epoch can't be executed in the new one.
+   * all tasks, and starts that were sent to the old epoch can't be executed in the new one. While the token wasn't raised since a
+   * restart of the agent, neither is certain: the heartbeat, or a start sent to its epoch, may be of an earlier incarnation.
    */
-  private beginEpoch(machine: Machine, agentEpoch: number): void {
+  private beginEpoch(machine: Machine, heartbeat: Heartbeat): void {
     const { tenure } = machine;
-    if (tenure.agentEpoch > UNKNOWN_EPOCH) {
-      const lost = [...tenure.allocations.values()].filter((allocation) => allocation.phase !== 'planned');
-      if (lost.length > 0) this.context.log('info', 'worker lease expired', { machine: machine.name, tasks: lost.length });
-      for (const allocation of lost) this.allocations.free(allocation);
+    if (tenure.agentEpoch === UNKNOWN_EPOCH) return;
+    const lost = [...tenure.allocations.values()].filter((allocation) => allocation.phase !== 'planned');
+    if (lost.length > 0)
+      this.context.log('info', 'worker lease expired', {
+        machine: machine.name,
+        tasks: lost.length,
+        epoch: tenure.agentEpoch,
+        sequence: tenure.sequence,
+        token: tenure.fencingToken,
+        newEpoch: heartbeat.agentEpoch,
+        newSequence: heartbeat.sequence,
+        newToken: heartbeat.fencingToken,
+      });
+    for (const allocation of lost) {
+      if (tenure.isRestartUnfenced) this.allocations.keepUntilTokenRaised(allocation);
+      else this.allocations.free(allocation);
     }
-    tenure.agentEpoch = agentEpoch;
   }
 
   private recordPreemptionNotice(machine: Machine, noticeS: number, now: Milliseconds): void {
--- a/packages/controller/src/model/machine.ts
+++ b/packages/controller/src/model/machine.ts
@@ -16,6 +16,9 @@
 /** The sequence number before the first heartbeat of an agent epoch; actual sequence numbers are larger. */
 export const NO_SEQUENCE = -1;
 
+/** The fencing token of an agent that has received none yet. */
+export const NO_FENCING_TOKEN = 0;
+
 /** The fencing token of the last start on a machine to which none was sent; actual tokens are larger. */
 export const NO_START_TOKEN = 0;
 
@@ -25,14 +28,20 @@
  */
 export type TokenRaise = 'none' | 'background' | 'prompt';
 
-/** The position of a heartbeat among all heartbeats of its worker. */
+/** The position of a heartbeat among the heartbeats of one incarnation of its agent. All numbers start over with the next one. */
 export interface HeartbeatPosition {
-  /** increases each time that the worker's agent starts over: when it restarts, and when its lease expires */
+  /** increases each time that the worker's lease expires */
   readonly agentEpoch: number;
   /** number of the message within its epoch; heartbeats and responses share one sequence */
   readonly sequence: number;
 }
 
+/** The position of a heartbeat, with what distinguishes the incarnations of its agent. */
+export interface FencedPosition extends HeartbeatPosition {
+  /** the highest fencing token that the agent had received; never decreases within an incarnation */
+  readonly fencingToken: number;
+}
+
 /** Below every priority: the machine's heartbeats name no job in the cluster state. */
 export const NO_REPORTED_PRIORITY = -1;
 
@@ -64,10 +73,17 @@
 export class MachineTenure {
   // ---- observed: from heartbeats and the responses to commands
 
-  /** increases when the agent restarts or its lease expires; its tasks are gone then */
+  /** increases when the worker's lease expires; its tasks are gone then */
   agentEpoch = UNKNOWN_EPOCH;
   /** sequence number of the newest heartbeat in this epoch */
   sequence = NO_SEQUENCE;
+  /** the highest fencing token that the agent had received when it sent that heartbeat */
+  fencingToken = NO_FENCING_TOKEN;
+  /**
+   * the agent restarted, and the fencing token has not been raised since: a heartbeat with a higher epoch may be of an earlier
+   * incarnation, which received the same token
+   */
+  isRestartUnfenced = false;
   /**
    * when the last heartbeat arrived at this controller or a peer, or else when the tenure began; unlike `lastHeartbeatAt`, not
    * shifted by pauses of this process
@@ -122,6 +138,23 @@
     this.lastContactAt = lastHeartbeatAt;
   }
 
+  /** Records the position of the newest message of the agent. */
+  recordPosition({ agentEpoch, sequence, fencingToken }: FencedPosition): void {
+    this.agentEpoch = agentEpoch;
+    this.sequence = sequence;
+    this.fencingToken = fencingToken;
+  }
+
+  /**
+   * Records that the agent restarted: its numbers start over. Until the fencing token was raised, and the new incarnation has
+   * responded under it, no starts are sent, and heartbeats of earlier incarnations can't be distinguished from its own.
+   */
+  recordAgentRestart(): void {
+    this.recordPosition({ agentEpoch: UNKNOWN_EPOCH, sequence: NO_SEQUENCE, fencingToken: NO_FENCING_TOKEN });
+    this.isRestartUnfenced = true;
+    this.hasUncertainCommand = true;
+  }
+
   /** Restarts the measurement of silence: a heartbeat arrived, or silence is to be measured from `now`. */
   resetContact(now: Milliseconds): void {
     this.lastHeartbeatAt = now;
@@ -143,6 +176,7 @@
    */
   recordTokenRaised(): void {
     this.hasUncertainCommand = false;
+    this.isRestartUnfenced = false;
     this.isVerified = false;
     this.isProbed = false;
   }
--- a/packages/controller/src/shards/command-dispatcher.ts
+++ b/packages/controller/src/shards/command-dispatcher.ts
@@ -97,7 +97,7 @@
     tenure.pendingCommandId = id;
     machine.lastCommandAt = this.allocations.now;
     machine.probeRequested = false;
-    const positionAtSend = { agentEpoch: tenure.agentEpoch, sequence: tenure.sequence };
+    const positionAtSend = { agentEpoch: tenure.agentEpoch, sequence: tenure.sequence, fencingToken: tenure.fencingToken };
     this.pendingCommands.set(id, { machine, starts, isProbe, positionAtSend });
     this.context.emit({
       type: 'command',
--- a/packages/controller/src/shards/command-outcomes.ts
+++ b/packages/controller/src/shards/command-outcomes.ts
@@ -5,7 +5,7 @@
 import type { Heartbeat } from '@archpost/protocol';
 import { hasRecentContact, type TaskAllocations } from '../allocation/index.js';
 import type { ClusterStateView, Logger } from '../context/index.js';
-import { type Allocation, type HeartbeatPosition, type Machine, type Milliseconds, NEVER } from '../model/index.js';
+import { type Allocation, type FencedPosition, type Machine, type Milliseconds, NEVER } from '../model/index.js';
 import type { HeartbeatReconciliation } from './heartbeat-reconciliation.js';
 import type { WorkerResponses } from './worker-responses.js';
 
@@ -26,7 +26,7 @@
   /** whether it contains no commands, so that a late delivery has no effect */
   isProbe: boolean;
   /** position of the newest heartbeat that was processed before it was sent: the response is newer */
-  positionAtSend: HeartbeatPosition;
+  positionAtSend: FencedPosition;
 }
 
 /**
--- /dev/null
+++ b/test/agent-restarts.test.ts
@@ -0,0 +1,184 @@
+// Restarts of workers' agents: epochs, sequence numbers and fencing tokens start over, and messages of earlier incarnations
+// arrive late.
+
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { Machine } from '@archpost/controller';
+import type { Heartbeat } from '@archpost/protocol';
+import { holderOfJob } from './scenarios/failover-scenarios.js';
+import { deliverHeartbeatCopy } from './scenarios/partition-scenarios.js';
+import { assertGoldenTrace, job, type SimulatedCluster, type SimulatedWorker, smallCluster } from './simulation/index.js';
+
+/** Interval between copies of heartbeats. */
+const COPY_INTERVAL_S = 3;
+
+/** Longest time from the expiry of a worker's lease until its tasks count as lost, if its heartbeats arrive. */
+const EXPIRY_TO_FREED_S = 2.5;
+
+const OLD_COPIES = 3;
+
+/** The worker hears nothing, and none of its heartbeats arrives, until its lease has expired. */
+function expireLeaseUnheard(cluster: SimulatedCluster, worker: SimulatedWorker): void {
+  const { agentEpoch } = worker;
+  cluster.isCloudDown = true;
+  cluster.losesHeartbeats = (name) => name === worker.name;
+  cluster.losesCommands = (_controller, name) => name === worker.name;
+  cluster.runUntil('its lease expired', () => worker.agentEpoch > agentEpoch, 40);
+  cluster.losesHeartbeats = () => false;
+  cluster.losesCommands = () => false;
+  cluster.run(5);
+  cluster.isCloudDown = false;
+}
+
+/** Returns heartbeats of the worker's current incarnation that are still on their way. */
+const heartbeatsOnTheirWay = (worker: SimulatedWorker): Heartbeat[] =>
+  Array.from({ length: OLD_COPIES }, () => worker.nextHeartbeat());
+
+/** A cluster of machines with one task each, the first of which is in its second epoch and has received its token. */
+function clusterWithSecondEpoch(machineCount = 4): { cluster: SimulatedCluster; worker: SimulatedWorker; copies: Heartbeat[] } {
+  const cluster = smallCluster(machineCount);
+  const worker = cluster.workers[0] as SimulatedWorker;
+  expireLeaseUnheard(cluster, worker);
+  return { cluster, worker, copies: heartbeatsOnTheirWay(worker) };
+}
+
+/** Returns the machine as the holder of the tests' only job has it. */
+function machineAtHolder(cluster: SimulatedCluster, worker: SimulatedWorker): Machine {
+  const holder = cluster.controller(holderOfJob(cluster, 'run-a'));
+  const machine = holder.controller.clusterState.machines.get(worker.name);
+  assert.ok(machine);
+  return machine;
+}
+
+/** Submits one task for each machine, and runs until all run. */
+function runTaskOnEachMachine(cluster: SimulatedCluster): void {
+  const tasks = cluster.workers.length;
+  cluster.submit(job('run-a', { tasks, cpus: 4, estimatedRunS: 500 }));
+  cluster.runUntil('all machines run a task', () => cluster.runningTasks('run-a') === tasks, 60);
+  cluster.run(5);
+}
+
+/** Crashes the holder of the tests' only job. Returns whether another controller holds its shard, when called later. */
+function crashHolder(cluster: SimulatedCluster): () => boolean {
+  const previous = cluster.controller(holderOfJob(cluster, 'run-a'));
+  previous.crash();
+  return () => !['', previous.name].includes(holderOfJob(cluster, 'run-a'));
+}
+
+/** Delivers the copies one after another at all controllers. No task may be freed or started by them. */
+function assertCopiesChangeNothing(cluster: SimulatedCluster, copies: readonly Heartbeat[]): void {
+  const before = cluster.trace.length;
+  for (const copy of copies) {
+    for (const node of cluster.controllers) if (node.up) deliverHeartbeatCopy(node, copy);
+    const holder = cluster.controller(holderOfJob(cluster, 'run-a'));
+    assert.equal(holder.controller.clusterState.jobs.get('run-a')?.pendingCount(), 0, 'a task that runs is to be started again');
+    cluster.run(COPY_INTERVAL_S);
+  }
+  assert.deepEqual(cluster.trace.slice(before), []);
+  assert.equal(cluster.runningTasks('run-a'), cluster.workers.length);
+}
+
+// Guards against a running task that starts elsewhere (review/5): the earlier incarnation had received the current token, too.
+test('an idle machine restarts: copies of heartbeats with a higher epoch and the token of that time change nothing', () => {
+  const { cluster, worker, copies } = clusterWithSecondEpoch();
+  worker.reboot();
+  cluster.run(10);
+  runTaskOnEachMachine(cluster);
+  assertCopiesChangeNothing(cluster, copies);
+});
+
+// Guards against a running task that starts elsewhere (review/5), as above, but with tasks on the machine when it restarts.
+test('a machine that runs a task restarts: copies of heartbeats with a higher epoch change nothing', () => {
+  const { cluster, worker, copies } = clusterWithSecondEpoch();
+  runTaskOnEachMachine(cluster);
+  copies.push(...heartbeatsOnTheirWay(worker));
+  worker.reboot();
+  cluster.run(5);
+  cluster.runUntil('all run again', () => cluster.runningTasks('run-a') === cluster.workers.length, 30);
+  cluster.run(5);
+  assertCopiesChangeNothing(cluster, copies);
+  assertGoldenTrace(cluster, 'agent-restart-with-lower-epoch');
+});
+
+// Guards against a task that starts elsewhere although the second restart came before the first was noticed.
+test('a machine restarts twice within a moment, and twice with some time between: copies of each incarnation change nothing', () => {
+  const { cluster, worker, copies } = clusterWithSecondEpoch();
+  worker.reboot();
+  cluster.run(0.3);
+  copies.push(...heartbeatsOnTheirWay(worker));
+  worker.reboot();
+  cluster.run(8);
+  expireLeaseUnheard(cluster, worker);
+  copies.push(...heartbeatsOnTheirWay(worker));
+  worker.reboot();
+  cluster.run(8);
+  runTaskOnEachMachine(cluster);
+  assertCopiesChangeNothing(cluster, copies);
+});
+
+// Guards against a task that starts elsewhere because the new lease holder can't compare with anything it heard before.
+test('a machine restarts while its shard changes holder: copies of heartbeats that the new holder never heard change nothing', () => {
+  const { cluster, worker, copies } = clusterWithSecondEpoch();
+  runTaskOnEachMachine(cluster);
+  copies.push(...heartbeatsOnTheirWay(worker));
+  const hasNewHolder = crashHolder(cluster);
+  worker.reboot();
+  cluster.runUntil('another controller holds the shard', hasNewHolder, 40);
+  cluster.runUntil('all run again', () => cluster.runningTasks('run-a') === cluster.workers.length, 40);
+  cluster.run(5);
+  assertCopiesChangeNothing(cluster, copies);
+});
+
+// Guards against a task that starts elsewhere while a repeat of its first start may still be executed.
+test('a machine restarts while the state service is down: no copy frees its tasks before the token is raised', () => {
+  const { cluster, worker, copies } = clusterWithSecondEpoch();
+  runTaskOnEachMachine(cluster);
+  worker.reboot(true);
+  cluster.isStateServiceDown = true;
+  cluster.run(8);
+  const higherEpoch = copies.map((copy) => ({ ...copy, fencingToken: worker.fencingToken }));
+  for (const copy of higherEpoch) for (const node of cluster.controllers) deliverHeartbeatCopy(node, copy);
+  assert.equal(machineAtHolder(cluster, worker).tenure.allocations.size, 1, 'its task is kept');
+  cluster.isStateServiceDown = false;
+  cluster.runUntil('all run again', () => cluster.runningTasks('run-a') === cluster.workers.length, 60);
+});
+
+/** The worker hears nothing until its lease expires; its heartbeats arrive. Returns how long its task is kept after that. */
+function secondsFromExpiryToFreed(cluster: SimulatedCluster, worker: SimulatedWorker): number {
+  const { agentEpoch } = worker;
+  cluster.isCloudDown = true;
+  cluster.losesControllerMessages = (_controller, name) => name === worker.name;
+  const machine = machineAtHolder(cluster, worker);
+  const [allocation, ...others] = [...machine.tenure.allocations.values()];
+  assert.ok(allocation && others.length === 0);
+  cluster.runUntil('its lease expired', () => worker.agentEpoch > agentEpoch, 40);
+  const expiredAt = cluster.now;
+  const isFreed = () => ![...machine.tenure.allocations.values()].includes(allocation);
+  cluster.runUntil('its task is freed', isFreed, 20);
+  return (cluster.now - expiredAt) / 1000;
+}
+
+test('the lease of a worker that hears nothing expires: its task is free with the next heartbeat', () => {
+  const cluster = smallCluster(4);
+  runTaskOnEachMachine(cluster);
+  const seconds = secondsFromExpiryToFreed(cluster, cluster.workers[0] as SimulatedWorker);
+  assert.ok(seconds <= EXPIRY_TO_FREED_S, `${seconds} s`);
+});
+
+test('the lease of a worker that hears nothing expires after a restart: its task is free with the next heartbeat', () => {
+  const { cluster, worker } = clusterWithSecondEpoch();
+  worker.reboot();
+  cluster.run(10);
+  runTaskOnEachMachine(cluster);
+  const seconds = secondsFromExpiryToFreed(cluster, worker);
+  assert.ok(seconds <= EXPIRY_TO_FREED_S, `${seconds} s`);
+});
+
+test('the lease of a worker expires after a failover, and it hears nothing: its task is free with the next heartbeat', () => {
+  const cluster = smallCluster(4);
+  runTaskOnEachMachine(cluster);
+  cluster.runUntil('another controller holds the shard', crashHolder(cluster), 40);
+  cluster.run(10);
+  const seconds = secondsFromExpiryToFreed(cluster, cluster.workers[0] as SimulatedWorker);
+  assert.ok(seconds <= EXPIRY_TO_FREED_S, `${seconds} s`);
+});
--- a/test/heartbeats.test.ts
+++ b/test/heartbeats.test.ts
@@ -279,7 +279,7 @@
   assert.equal(cluster.runningTasks('run-a'), 2);
 });
 
-// PROTOCOL's workers never begin again with a lower agent epoch; those of the random simulations do.
+// A machine that is back within a moment has a worker whose epoch begins again.
 test('a copy of a heartbeat from before a restart of the agent has a higher epoch: the tasks that run now do not count as lost', () => {
   const cluster = smallCluster(4);
   const worker = cluster.workers[0] as SimulatedWorker;
