A forwarding controller goes on with the heartbeats of a restarted agent

What callers saw: after a restart of a machine whose worker reports to another controller than the holder of its shard, that controller dropped its heartbeats as older than the last ones before the restart, for ten worker leases. Ends of tasks and preemption notices reached the holder only by its own probes, each after a silence.

Change: of two heartbeats the one with the higher fencing token is the newer one, and with the same token the one with the higher epoch and sequence.

test/agent-restarts.test.ts, "the controller that forwards its heartbeats goes on with those of the new incarnation": fails on the sources before ("the holder has heard of the notice").

--- a/packages/controller/src/heartbeats/heartbeat-forwarding.ts
+++ b/packages/controller/src/heartbeats/heartbeat-forwarding.ts
@@ -6,7 +6,7 @@
 import type { Heartbeat, TaskStatus, UnchangedHeartbeat } from '@archpost/protocol';
 import type { ClusterStateView, EffectSink, PeerDirectory, SettingsView } from '../context/index.js';
 import { appendTo, type Milliseconds, NEVER, NO_SEQUENCE } from '../model/index.js';
-import { isNewer } from './heartbeat-order.js';
+import { isNewerOfAnyIncarnation } from './heartbeat-order.js';
 
 /** The status lists machines whose last heartbeat arrived within this time. */
 const RECENT_HEARTBEAT_MS = 4000;
@@ -68,7 +68,7 @@
    */
   receive(heartbeat: Heartbeat, holder: string | null, now: Milliseconds): void {
     const previous = this.forwardingStates.get(heartbeat.machine);
-    if (previous && !isNewer(heartbeat, previous.heartbeat)) return;
+    if (previous && !isNewerOfAnyIncarnation(heartbeat, previous.heartbeat)) return;
     const state: ForwardingState = {
       heartbeat,
       receivedAt: now,
--- a/test/agent-restarts.test.ts
+++ b/test/agent-restarts.test.ts
@@ -143,6 +143,36 @@
   cluster.runUntil('all run again', () => cluster.runningTasks('run-a') === cluster.workers.length, 60);
 });
 
+/** A cluster in which a worker of the other zone reports to a controller that doesn't hold its shard. */
+function clusterWithForwarding() {
+  const cluster = smallCluster(8);
+  cluster.run(6);
+  const forwarder = cluster.controller('n1');
+  const worker = cluster.workers.find((candidate) => {
+    const shard = forwarder.controller.clusterState.machines.get(candidate.name)?.shard ?? -1;
+    return candidate.zone === 'west' && !forwarder.controller.shardController.heldShards.has(shard);
+  });
+  assert.ok(worker, 'a machine in the west whose shard is held in the east');
+  const holder = cluster.controllers.find((node) =>
+    node.controller.shardController.heldShards.has(node.controller.clusterState.machines.get(worker.name)?.shard ?? -1),
+  );
+  assert.ok(holder);
+  const tenure = () => holder.controller.clusterState.machines.get(worker.name)?.tenure;
+  return { cluster, worker, tenure };
+}
+
+// Guards against heartbeats that a forwarding controller drops for minutes: its tasks' ends and preemption notices were lost.
+test('a machine restarts: the controller that forwards its heartbeats goes on with those of the new incarnation', () => {
+  const { cluster, worker, tenure } = clusterWithForwarding();
+  expireLeaseUnheard(cluster, worker);
+  worker.reboot();
+  cluster.run(10);
+  cluster.losesCommands = (_controller, name) => name === worker.name;
+  worker.preemptionNoticeS = 300;
+  cluster.run(3);
+  assert.notEqual(tenure()?.preemptionNoticeUntil, null, 'the holder has heard of the notice');
+});
+
 /** The worker hears nothing until its lease expires; its heartbeats arrive. Returns how long its task is kept after that. */
 function secondsFromExpiryToFreed(cluster: SimulatedCluster, worker: SimulatedWorker): number {
   const { agentEpoch } = worker;
