Peers tell the fencing token with an unchanged heartbeat: copies of an earlier incarnation are no contact

What callers saw: a machine restarts and is lost later; while copies of its heartbeats from before the restart arrive at another controller, its holder counts each as contact, and keeps the machine and its tasks.

A status lists unchanged heartbeats by epoch and sequence, and those of an earlier incarnation were larger.

Change: the list has the token, too (a new, optional field; versions that don't know it pass over it, and without it the comparison is as before). One with a lower token than the machine's newest message is passed over. For a machine that has not answered its new holder yet it counts as a claim, like a heartbeat.

test/agent-restarts.test.ts, "old heartbeats at another controller do not make it appear alive": fails on the sources before (48900 !== 33300).

--- a/packages/controller/src/heartbeats/heartbeat-forwarding.ts
+++ b/packages/controller/src/heartbeats/heartbeat-forwarding.ts
@@ -132,6 +132,7 @@
       agentEpoch: heartbeat.agentEpoch,
       sequence: heartbeat.sequence,
       forwardedSequence: sequenceAtHolder,
+      fencingToken: heartbeat.fencingToken,
     });
   }
 }
--- a/packages/controller/src/heartbeats/heartbeat-reconciler.ts
+++ b/packages/controller/src/heartbeats/heartbeat-reconciler.ts
@@ -18,7 +18,7 @@
 } from '../model/index.js';
 import type { HeartbeatReconciliation, ImageCacheWriter, ProgressWriter } from '../shards/index.js';
 import { evaluateCommandResponse, evaluateHeartbeat, isImplausible } from './heartbeat-evaluation.js';
-import { isNewer, isNewerOfAnyIncarnation } from './heartbeat-order.js';
+import { isNewerOfAnyIncarnation } from './heartbeat-order.js';
 import { TaskReconciler } from './task-reconciler.js';
 
 /** Minimum number of heartbeat intervals between two requests to probe a machine because its heartbeats are inconsistent. */
@@ -75,16 +75,23 @@
     const machine = this.context.clusterState.machines.get(unchanged.machine);
     if (!machine || !this.allocations.holdsShard(machine.shard, now)) return;
     const { tenure } = machine;
-    // The report is older than the newest message that this controller received: the other controller answered a late copy.
-    if (tenure.isVerified && isNewer(tenure, unchanged)) return;
+    const { agentEpoch, sequence, fencingToken = tenure.fencingToken } = unchanged;
+    const position = { agentEpoch, sequence, fencingToken };
+    // The report is older than the newest message that this controller received, or of an earlier incarnation of the agent: the
+    // other controller answered a late copy.
+    if (tenure.isVerified && isNewerOfAnyIncarnation(tenure, position)) return;
     this.recordPeerContact(machine, from, now);
-    if (!tenure.isVerified || unchanged.agentEpoch !== tenure.agentEpoch || unchanged.sequence <= tenure.sequence) return;
+    if (!tenure.isVerified) {
+      if (unchanged.fencingToken !== undefined) this.recordUnverifiedPosition(machine, position);
+      return;
+    }
+    if (agentEpoch !== tenure.agentEpoch || sequence <= tenure.sequence) return;
     // The heartbeat that the report refers to didn't reach this controller, or the reported sequence is implausible.
-    if (tenure.sequence < unchanged.forwardedSequence || isImplausible(tenure, unchanged.sequence, now)) {
+    if (tenure.sequence < unchanged.forwardedSequence || isImplausible(tenure, sequence, now)) {
       this.requestProbe(machine, now);
       return;
     }
-    tenure.sequence = unchanged.sequence;
+    tenure.sequence = sequence;
     this.recordContact(machine, now);
   }
 
--- a/packages/protocol/src/peer/peer-message.ts
+++ b/packages/protocol/src/peer/peer-message.ts
@@ -9,6 +9,7 @@
   runningJobFields,
   unassignedMachineFields,
   unchangedHeartbeatFields,
+  unchangedHeartbeatOneofs,
 } from './peer-status.js';
 import type { ProtobufFields } from './protobuf-fields.js';
 import { machineSummaryFields, resourceDemandFields, shardSummaryFields } from './shard-summary.js';
@@ -34,7 +35,7 @@
     ShardSummary: { fields: shardSummaryFields },
     RunningJob: { fields: runningJobFields },
     UnassignedMachine: { fields: unassignedMachineFields },
-    UnchangedHeartbeat: { fields: unchangedHeartbeatFields },
+    UnchangedHeartbeat: { fields: unchangedHeartbeatFields, oneofs: unchangedHeartbeatOneofs },
     PeerStatus: { fields: peerStatusFields },
     TaskStatus: { fields: taskStatusFields },
     Heartbeat: { fields: heartbeatFields },
--- a/packages/protocol/src/peer/peer-status.ts
+++ b/packages/protocol/src/peer/peer-status.ts
@@ -47,6 +47,8 @@
   sequence: number;
   /** sequence of the last forwarded heartbeat */
   forwardedSequence: number;
+  /** the highest fencing token that the worker had received; absent in messages of versions that don't send it */
+  fencingToken?: number;
 }
 
 /** Protobuf fields of an UnchangedHeartbeat. */
@@ -55,8 +57,12 @@
   agentEpoch: { type: 'uint64', id: 2 },
   sequence: { type: 'uint64', id: 3 },
   forwardedSequence: { type: 'uint64', id: 4 },
+  fencingToken: { type: 'uint64', id: 5 },
 } satisfies ProtobufFields<UnchangedHeartbeat>;
 
+/** The optional fields of an UnchangedHeartbeat: protobuf tells whether they are present if each is in a group of its own. */
+export const unchangedHeartbeatOneofs = { _fencingToken: { oneof: ['fencingToken'] } };
+
 /** A controller's status, assembled for one receiver: lists that the receiver does not need are empty. */
 export interface PeerStatus {
   /** name of the sending controller */
--- a/test/agent-restarts.test.ts
+++ b/test/agent-restarts.test.ts
@@ -158,7 +158,7 @@
   );
   assert.ok(holder);
   const tenure = () => holder.controller.clusterState.machines.get(worker.name)?.tenure;
-  return { cluster, worker, tenure };
+  return { cluster, forwarder, worker, tenure };
 }
 
 // Guards against heartbeats that a forwarding controller drops for minutes: its tasks' ends and preemption notices were lost.
@@ -173,6 +173,30 @@
   assert.notEqual(tenure()?.preemptionNoticeUntil, null, 'the holder has heard of the notice');
 });
 
+// Guards against a lost machine that keeps its tasks for as long as another controller hears old heartbeats.
+test('a machine restarts and dies: old heartbeats at another controller do not make it appear alive', () => {
+  const { cluster, forwarder, worker, tenure } = clusterWithForwarding();
+  expireLeaseUnheard(cluster, worker);
+  const copies = Array.from({ length: 30 }, () => worker.nextHeartbeat());
+  worker.reboot();
+  cluster.run(10);
+  const lastContactAt = () => tenure()?.lastContactAt;
+  // The forwarding controller has restarted, too, and compares with nothing.
+  forwarder.crash();
+  worker.dead = true;
+  cluster.run(1);
+  forwarder.restart();
+  cluster.runUntil('it is up', () => forwarder.controller.replica.isLoaded, 10);
+  cluster.isCloudDown = true;
+  cluster.run(2);
+  const before = lastContactAt();
+  for (const copy of copies.slice(0, 10)) {
+    deliverHeartbeatCopy(forwarder, copy);
+    cluster.run(1);
+  }
+  assert.equal(lastContactAt(), before, 'a copy counts as contact');
+});
+
 /** The worker hears nothing until its lease expires; its heartbeats arrive. Returns how long its task is kept after that. */
 function secondsFromExpiryToFreed(cluster: SimulatedCluster, worker: SimulatedWorker): number {
   const { agentEpoch } = worker;
--- a/test/recorded-support/full-messages.ts
+++ b/test/recorded-support/full-messages.ts
@@ -44,7 +44,9 @@
       runningJobs: [{ job: 'run-a', count: 1, done: 2, failed: 3 }],
       runningJobsComplete: true,
       unassignedMachines: [{ machine: 'm2', address: '10.0.0.2:80', type: 'small', zone: 'west', spot: true }],
-      unchangedHeartbeats: [{ machine: 'm3', agentEpoch: 2 ** 40, sequence: 2 ** 33, forwardedSequence: 7 }],
+      unchangedHeartbeats: [
+        { machine: 'm3', agentEpoch: 2 ** 40, sequence: 2 ** 33, forwardedSequence: 7, fencingToken: 2 ** 44 },
+      ],
       availableTypes: ['big'],
       isLeader: true,
       mayAnswerWorkers: true,
