--- a/packages/controller/src/heartbeats/heartbeat-evaluation.ts
+++ b/packages/controller/src/heartbeats/heartbeat-evaluation.ts
@@ -40,8 +40,8 @@
   /** can't follow the newest message received: a late copy, perhaps of an earlier incarnation, or the agent restarted */
   | { readonly kind: 'stale' }
   /**
-   * the sequence is higher than the worker can have reached, or doesn't continue in a new epoch: a copy from before an agent
-   * restart, or many messages were lost
+   * the sequence is higher than the worker can have reached, or the heartbeat can't be the first of a new epoch: a copy from
+   * before an agent restart, or many messages were lost
    */
   | { readonly kind: 'implausible' };
 
@@ -58,7 +58,7 @@
   if (!tenure.isVerified) return UNVERIFIED;
   if (!mayFollow(heartbeat, tenure)) return STALE;
   if (isImplausible(tenure, heartbeat.sequence, now)) return IMPLAUSIBLE;
-  if (heartbeat.agentEpoch > tenure.agentEpoch && !continuesSequence(tenure, heartbeat.sequence, now)) return IMPLAUSIBLE;
+  if (heartbeat.agentEpoch > tenure.agentEpoch && !mayBeginEpoch(tenure, heartbeat, now)) return IMPLAUSIBLE;
   const hasGapBefore = heartbeat.agentEpoch === tenure.agentEpoch && heartbeat.sequence > tenure.sequence + 1;
   return hasGapBefore ? ACCEPTED_AFTER_GAP : ACCEPTED;
 }
@@ -83,12 +83,12 @@
 }
 
 /**
- * Whether the sequence can be that of the first heartbeat which arrives from a new epoch. The sequence doesn't start over when a
- * lease expires. An earlier incarnation of the agent may have received the current fencing token without this controller hearing
- * it; the sequence of its late heartbeats is a different one.
+ * Whether the heartbeat can be the first that arrives from a new epoch. An expired lease leaves the worker without tasks, and
+ * none was started in an epoch that this controller doesn't know, but its sequence goes on. An earlier incarnation of the agent,
+ * which may have received the current fencing token without this controller hearing it, can have tasks and another sequence.
  */
-function continuesSequence(tenure: MachineTenure, sequence: number, now: Milliseconds): boolean {
+function mayBeginEpoch(tenure: MachineTenure, { sequence, tasks }: Heartbeat, now: Milliseconds): boolean {
   const sinceHeartbeatMs = now - tenure.lastHeartbeatAt;
   const maxMessages = MAX_MESSAGE_BURST_AT_EXPIRY + (MAX_MESSAGES_PER_S_AT_EXPIRY * sinceHeartbeatMs) / 1000;
-  return sequence > tenure.sequence && sequence - tenure.sequence <= maxMessages;
+  return tasks.length === 0 && sequence > tenure.sequence && sequence - tenure.sequence <= maxMessages;
 }
--- a/test/agent-restarts.test.ts
+++ b/test/agent-restarts.test.ts
@@ -267,10 +267,18 @@
   assertCopiesChangeNothing(cluster, restartAfterUnheardContact(cluster, worker));
 });
 
-// The same, and epoch, number and token are just those that an expiry of the lease would bring.
-test('a machine restarts after it heard the new holder of its shard, which has not heard it: a copy that has by chance the next number changes nothing', () => {
+// The same, and the number of each copy is by chance the one that comes next.
+test('a machine restarts after it heard the new holder of its shard, which has not heard it: a copy with tasks and the next number changes nothing', () => {
   const { cluster, worker } = clusterWithSecondEpoch();
   runTaskOnEachMachine(cluster);
   for (const copy of restartAfterUnheardContact(cluster, worker))
     assertCopiesChangeNothing(cluster, [{ ...copy, sequence: worker.sequence + 1 }]);
 });
+
+// The same, and the copies list no task: they are what the expiry of the lease would bring.
+test('a machine restarts after it heard the new holder of its shard, which has not heard it: a copy without tasks and with the next number changes nothing', () => {
+  const { cluster, worker } = clusterWithSecondEpoch();
+  runTaskOnEachMachine(cluster);
+  for (const copy of restartAfterUnheardContact(cluster, worker))
+    assertCopiesChangeNothing(cluster, [{ ...copy, sequence: worker.sequence + 1, tasks: [] }]);
+});
