A machine counts as verified only by a response that was processed

Cause: the first of them recorded the whole position of heartbeats of an unverified machine, so a heartbeat that arrived between a probe and its response made the response old. It was passed over, and the machine counted as verified without its tasks.

The response to a probe of an unverified machine counts unless a heartbeat of a higher epoch arrived since; then the machine is probed again, to tell an expired lease from an earlier incarnation. And whatever the reason, a machine is verified only by a response that was processed. A claim of peers is no longer recorded: no test needed it.

The simulation answered commands within 10 ms, which is why the suite missed it: responses may be slow now, and the random simulation of restarts plays each seed with slow ones, too.

--- a/packages/controller/src/heartbeats/heartbeat-evaluation.ts
+++ b/packages/controller/src/heartbeats/heartbeat-evaluation.ts
@@ -73,9 +73,18 @@
   positionAtSend: FencedPosition,
 ): HeartbeatEvaluation {
   if (!mayFollow(response, positionAtSend)) return AGENT_RESTARTED;
+  if (!tenure.isVerified) return isContradicted(tenure, response) ? STALE : ACCEPTED;
   return mayFollow(response, tenure) ? ACCEPTED : STALE;
 }
 
+/**
+ * Whether an unverified machine's heartbeat of a higher epoch arrived since the command was sent. Only the next response shows
+ * whether the lease has expired, or an earlier incarnation of the agent sent the heartbeat.
+ */
+function isContradicted(tenure: MachineTenure, response: Heartbeat): boolean {
+  return tenure.agentEpoch > response.agentEpoch;
+}
+
 /** Whether the sequence is higher than the worker can have reached since its last heartbeat. False before its first heartbeat. */
 export function isImplausible(tenure: MachineTenure, sequence: number, now: Milliseconds): boolean {
   const sinceHeartbeatMs = now - tenure.lastHeartbeatAt;
--- a/packages/controller/src/heartbeats/heartbeat-reconciler.ts
+++ b/packages/controller/src/heartbeats/heartbeat-reconciler.ts
@@ -81,11 +81,7 @@
     // other controller answered a late copy.
     if (tenure.isVerified && isNewerOfAnyIncarnation(tenure, position)) return;
     this.recordPeerContact(machine, from, now);
-    if (!tenure.isVerified) {
-      if (unchanged.fencingToken !== undefined) this.recordUnverifiedPosition(machine, position);
-      return;
-    }
-    if (agentEpoch !== tenure.agentEpoch || sequence <= tenure.sequence) return;
+    if (!tenure.isVerified || agentEpoch !== tenure.agentEpoch || sequence <= tenure.sequence) return;
     // The heartbeat that the report refers to didn't reach this controller, or the reported sequence is implausible.
     if (tenure.sequence < unchanged.forwardedSequence || isImplausible(tenure, sequence, now)) {
       this.requestProbe(machine, now);
@@ -107,21 +103,12 @@
   }
 
   /** Records only what a probe of an unverified machine depends on: the epoch that it is addressed to, and its priority. */
-  private recordUnverified(machine: Machine, heartbeat: Heartbeat): void {
-    const { tenure } = machine;
-    this.recordUnverifiedPosition(machine, heartbeat);
+  private recordUnverified({ tenure }: Machine, heartbeat: Heartbeat): void {
+    if (heartbeat.agentEpoch > tenure.agentEpoch) tenure.agentEpoch = heartbeat.agentEpoch;
     for (const task of heartbeat.tasks)
       tenure.reportedPriority = Math.max(tenure.reportedPriority, this.reportedPriorityOf(task.job));
   }
 
-  /**
-   * Records the newest position that an unverified machine has claimed. Its next response follows that position, unless another
-   * incarnation of the agent sent the claim.
-   */
-  private recordUnverifiedPosition({ tenure }: Machine, position: FencedPosition): void {
-    if (isNewerOfAnyIncarnation(position, tenure)) tenure.recordPosition(position);
-  }
-
   /** Returns the priority of a probe for a machine that reports tasks of the job. Cancelled tasks have to end in time. */
   private reportedPriorityOf(jobId: string): number {
     const { finishedJobs, jobs } = this.context.clusterState;
--- a/packages/controller/src/shards/command-outcomes.ts
+++ b/packages/controller/src/shards/command-outcomes.ts
@@ -5,7 +5,14 @@
 import type { Heartbeat } from '@archpost/protocol';
 import { hasRecentContact, type TaskAllocations } from '../allocation/index.js';
 import type { ClusterStateView, Logger } from '../context/index.js';
-import { type Allocation, type FencedPosition, type Machine, type Milliseconds, NEVER } from '../model/index.js';
+import {
+  type Allocation,
+  type FencedPosition,
+  type Machine,
+  type MachineTenure,
+  type Milliseconds,
+  NEVER,
+} from '../model/index.js';
 import type { HeartbeatReconciliation } from './heartbeat-reconciliation.js';
 import type { WorkerResponses } from './worker-responses.js';
 
@@ -78,7 +85,8 @@
     // A task that was started but is missing from the status has already ended, and a repeat of its start could run it again.
     for (const allocation of starts)
       if (this.allocations.isStartPending(allocation)) this.allocations.keepUntilTokenRaised(allocation);
-    if (isProbe && !machine.tenure.isVerified && !machine.tenure.hasUncertainCommand) this.recordVerified(machine);
+    if (isProbe && !machine.tenure.isVerified && isNewest(machine.tenure, heartbeat) && !machine.tenure.hasUncertainCommand)
+      this.recordVerified(machine);
   }
 
   /**
@@ -130,3 +138,8 @@
     else if (!isProbe) tenure.hasUncertainCommand = true;
   }
 }
+
+/** Whether the status in a response was processed, rather than set aside because of a heartbeat that arrived before it. */
+function isNewest(tenure: MachineTenure, { agentEpoch, sequence }: Heartbeat): boolean {
+  return tenure.agentEpoch === agentEpoch && tenure.sequence === sequence;
+}
--- a/test/agent-restarts.test.ts
+++ b/test/agent-restarts.test.ts
@@ -7,7 +7,14 @@
 import type { Heartbeat } from '@archpost/protocol';
 import { holderOfJob } from './scenarios/failover-scenarios.js';
 import { deliverHeartbeatCopy } from './scenarios/partition-scenarios.js';
-import { assertGoldenTrace, job, type SimulatedCluster, type SimulatedWorker, smallCluster } from './simulation/index.js';
+import {
+  assertGoldenTrace,
+  job,
+  SimulatedCluster,
+  type SimulatedController,
+  type SimulatedWorker,
+  smallCluster,
+} from './simulation/index.js';
 
 /** Interval between copies of heartbeats. */
 const COPY_INTERVAL_S = 3;
@@ -17,6 +24,10 @@
 
 const OLD_COPIES = 3;
 
+/** Time of a response to a command, longer than until the worker's next heartbeat, and time in which a new holder probes all. */
+const SLOW_RESPONSE_MS = 900;
+const TAKEOVER_S = 15;
+
 /** The worker hears nothing, and none of its heartbeats arrives, until its lease has expired. */
 function expireLeaseUnheard(cluster: SimulatedCluster, worker: SimulatedWorker): void {
   const { agentEpoch } = worker;
@@ -237,19 +248,22 @@
   assert.ok(seconds <= EXPIRY_TO_FREED_S, `${seconds} s`);
 });
 
+/** Whether the new holder of a shard hears the heartbeats that another controller answers, before a machine restarts. */
+type Contact = 'heard' | 'unheard';
+
 /**
  * The shard of a machine that runs a task changes holder. The machine hears the new holder's token from another controller and
- * restarts, and only then the new holder hears it for the first time. Returns heartbeats of the earlier incarnation.
+ * restarts, and only then a command of the new holder reaches it. Returns heartbeats of the earlier incarnation.
  */
-function restartAfterUnheardContact(cluster: SimulatedCluster, worker: SimulatedWorker): Heartbeat[] {
+function restartAfterTakeover(cluster: SimulatedCluster, worker: SimulatedWorker, contact: Contact): Heartbeat[] {
   const { fencingToken } = worker;
   const hasNewHolder = crashHolder(cluster);
-  // The controllers don't reach one another, and no command reaches the machine.
-  cluster.isPartitioned = (a, b) => a.startsWith('n') && b.startsWith('n');
+  if (contact === 'unheard') cluster.isPartitioned = (a, b) => a.startsWith('n') && b.startsWith('n');
   cluster.losesCommands = (_controller, name) => name === worker.name;
   cluster.runUntil('another controller holds the shard', hasNewHolder, 40);
   worker.controllerIndex = cluster.controllers.findIndex((node) => node.up && node.name !== holderOfJob(cluster, 'run-a'));
   cluster.runUntil('it heard the new token', () => worker.fencingToken > fencingToken, 10);
+  if (contact === 'heard') cluster.run(3);
   const copies = heartbeatsOnTheirWay(worker);
   worker.reboot();
   cluster.losesCommands = () => false;
@@ -259,26 +273,92 @@
   return copies;
 }
 
+const withoutTasks = (heartbeat: Heartbeat): Heartbeat => ({ ...heartbeat, tasks: [] });
+
+/** A copy that has by chance the number which comes next. */
+const withNextNumber = (heartbeat: Heartbeat, worker: SimulatedWorker): Heartbeat => ({
+  ...heartbeat,
+  sequence: worker.sequence + 1,
+});
+
 // Guards against a task that starts elsewhere because the new holder takes the earlier incarnation, whose token is current, for the
 // next epoch.
-test('a machine restarts after it heard the new holder of its shard, which has not heard it: copies change nothing', () => {
+test('a machine restarts after a takeover, and its holder has heard the earlier incarnation: copies change nothing', () => {
+  const { cluster, worker } = clusterWithSecondEpoch();
+  runTaskOnEachMachine(cluster);
+  for (const copy of restartAfterTakeover(cluster, worker, 'heard'))
+    assertCopiesChangeNothing(cluster, [withNextNumber(withoutTasks(copy), worker)]);
+});
+
+// The same, and nothing but the numbers of the copies shows that they are old.
+test('a machine restarts after a takeover, unheard by its holder: copies without tasks change nothing', () => {
   const { cluster, worker } = clusterWithSecondEpoch();
   runTaskOnEachMachine(cluster);
-  assertCopiesChangeNothing(cluster, restartAfterUnheardContact(cluster, worker));
+  assertCopiesChangeNothing(cluster, restartAfterTakeover(cluster, worker, 'unheard').map(withoutTasks));
 });
 
-// The same, and the number of each copy is by chance the one that comes next.
-test('a machine restarts after it heard the new holder of its shard, which has not heard it: a copy with tasks and the next number changes nothing', () => {
+// The same, and nothing but the tasks of the copies shows that they are old.
+test('a machine restarts after a takeover, unheard by its holder: copies with tasks and the next number change nothing', () => {
   const { cluster, worker } = clusterWithSecondEpoch();
   runTaskOnEachMachine(cluster);
-  for (const copy of restartAfterUnheardContact(cluster, worker))
-    assertCopiesChangeNothing(cluster, [{ ...copy, sequence: worker.sequence + 1 }]);
+  for (const copy of restartAfterTakeover(cluster, worker, 'unheard'))
+    assertCopiesChangeNothing(cluster, [withNextNumber(copy, worker)]);
 });
 
-// The same, and the copies list no task: they are what the expiry of the lease would bring.
-test('a machine restarts after it heard the new holder of its shard, which has not heard it: a copy without tasks and with the next number changes nothing', () => {
+// The same, and the copies are what the expiry of the lease would bring.
+test('a machine restarts after a takeover, unheard by its holder: copies without tasks and with the next number change nothing', () => {
   const { cluster, worker } = clusterWithSecondEpoch();
   runTaskOnEachMachine(cluster);
-  for (const copy of restartAfterUnheardContact(cluster, worker))
-    assertCopiesChangeNothing(cluster, [{ ...copy, sequence: worker.sequence + 1, tasks: [] }]);
+  for (const copy of restartAfterTakeover(cluster, worker, 'unheard'))
+    assertCopiesChangeNothing(cluster, [withNextNumber(withoutTasks(copy), worker)]);
+});
+
+/** The holder of the shard crashes, and every response to a command takes long. Returns what starts and stops in a while. */
+function changesOfSlowTakeover(cluster: SimulatedCluster, afterStep: (holder: SimulatedController) => void): string[] {
+  const hasNewHolder = crashHolder(cluster);
+  cluster.commandResponseMs = () => SLOW_RESPONSE_MS;
+  cluster.runUntil('another controller holds the shard', hasNewHolder, 40);
+  const before = cluster.trace.length;
+  cluster.afterStep = () => afterStep(cluster.controller(holderOfJob(cluster, 'run-a')));
+  cluster.run(TAKEOVER_S);
+  return cluster.trace.slice(before);
+}
+
+// Guards against a machine that counts as verified although its response was passed over for a newer heartbeat: all that ran was
+// stopped and started again.
+test('a shard changes holder, and heartbeats arrive before the response to its first probe: what runs is left alone', () => {
+  const cluster = smallCluster(8);
+  runTaskOnEachMachine(cluster);
+  assert.deepEqual(
+    changesOfSlowTakeover(cluster, () => {}),
+    [],
+  );
+});
+
+// The same with a copy of a heartbeat of an earlier incarnation.
+test('a shard changes holder, and copies with a higher epoch arrive before the response to its first probe: what runs is left alone', () => {
+  const { cluster, worker, copies } = clusterWithSecondEpoch();
+  worker.reboot();
+  cluster.run(10);
+  runTaskOnEachMachine(cluster);
+  const deliverWhileProbed = (holder: SimulatedController): void => {
+    const isProbed = machineAtHolder(cluster, worker).tenure.pendingCommandId !== null;
+    const copy = isProbed ? copies.pop() : undefined;
+    if (copy) deliverHeartbeatCopy(holder, copy);
+  };
+  assert.deepEqual(changesOfSlowTakeover(cluster, deliverWhileProbed), []);
+});
+
+// Guards against an incarnation that shares the token of the earlier one.
+test('a response has larger numbers than before and a lower token: the agent restarted, and the token is raised', () => {
+  const cluster = new SimulatedCluster(undefined, (settings) => ({ ...settings, policy: { ...settings.policy, silentS: 60 } }));
+  const worker = cluster.addMachine('m0');
+  cluster.runUntilSettled();
+  cluster.run(5);
+  const { fencingToken } = worker;
+  worker.reboot();
+  expireLeaseUnheard(cluster, worker);
+  runTaskOnEachMachine(cluster);
+  assert.equal(worker.agentEpoch, 2);
+  assert.ok(worker.fencingToken > fencingToken, 'the token is the one from before the restart');
 });
--- a/test/randomized-simulation.test.ts
+++ b/test/randomized-simulation.test.ts
@@ -83,10 +83,12 @@
   const walks = Number(process.env.RESTART_WALKS ?? 5);
   const seeds = Array.from({ length: walks }, (_, index) => index + 1);
   for (const seed of [...RESTART_SEEDS, ...seeds]) {
-    try {
-      new RandomizedSimulation(seed, { faultKinds: RESTART_FAULTS }).run(120);
-    } catch (e) {
-      assert.fail(`seed ${seed}: ${e instanceof Error ? e.message : e}`);
+    for (const hasSlowResponses of [false, true]) {
+      try {
+        new RandomizedSimulation(seed, { faultKinds: RESTART_FAULTS, hasSlowResponses }).run(120);
+      } catch (e) {
+        assert.fail(`seed ${seed}${hasSlowResponses ? ', slow responses' : ''}: ${e instanceof Error ? e.message : e}`);
+      }
     }
   }
 });
--- a/test/randomized/randomized-simulation.ts
+++ b/test/randomized/randomized-simulation.ts
@@ -25,6 +25,8 @@
   inputsPerTick?: number;
   /** whether requests that workers executed arrive again, late and in any order */
   repeatsCommands?: boolean;
+  /** whether responses to commands take up to a second */
+  hasSlowResponses?: boolean;
   /** length of the change log that a watch can resume from, and pages of a snapshot */
   state?: { changesKept: number; pages: number };
 }
@@ -42,6 +44,9 @@
 /** Share of the steps in which an executed request arrives again. */
 const REPEATED_STEP_SHARE = 0.5;
 
+/** Longest time of a response to a command, where responses are slow. */
+const MAX_RESPONSE_MS = 1000;
+
 /** One run of the simulation: its cluster, users and faults. */
 export class RandomizedSimulation {
   readonly cluster: SimulatedCluster;
@@ -49,8 +54,9 @@
   private readonly random: Random;
   private readonly faults: FaultInjector;
   private readonly faultKinds: readonly Fault[];
-  /** apart from `random`, so that the same seed brings the same faults with and without repeated commands */
+  /** apart from `random`, so that the same seed brings the same faults with and without repeated commands or slow responses */
   private readonly repeatRandom: Random;
+  private readonly responseRandom: Random;
 
   constructor(
     seed: number,
@@ -59,7 +65,9 @@
     this.faultKinds = options.faultKinds ?? FAULTS;
     this.random = new Random(seed);
     this.repeatRandom = new Random(seed + 1);
+    this.responseRandom = new Random(seed + 2);
     this.cluster = this.createCluster();
+    if (options.hasSlowResponses) this.cluster.commandResponseMs = () => MAX_RESPONSE_MS * this.responseRandom.next();
     if (options.initialVersion) this.startWithVersion(options.initialVersion);
     this.addMachines();
     this.cluster.runUntilSettled();
--- a/test/simulation/cluster.ts
+++ b/test/simulation/cluster.ts
@@ -60,6 +60,8 @@
   onHeartbeat: ((heartbeat: Heartbeat) => void) | null = null;
   /** delay of the response to a transaction after its commit */
   transactionResponseMs: (controller: string) => number = () => 10;
+  /** delay of the response to a command after its execution */
+  commandResponseMs: () => number = () => 10;
   /** boot time of provisioned machines; null: the cloud has no capacity */
   bootTimeMs: (() => number) | null = null;
   private provisionedCount = 0;
--- a/test/simulation/controller.ts
+++ b/test/simulation/controller.ts
@@ -330,7 +330,11 @@
       };
       const outcome = worker.receiveCommands(effect.fencingToken, effect.agentEpoch, effect.commands, version);
       const unreadable = outcome.kind === 'ok' && cluster.garblesCommandResponses(this.name, effect.machine);
-      schedule(10, receiveOutcome(unreadable ? { ...outcome, heartbeat: null } : outcome), receiveOutcome({ kind: 'lost' }));
+      schedule(
+        cluster.commandResponseMs(),
+        receiveOutcome(unreadable ? { ...outcome, heartbeat: null } : outcome),
+        receiveOutcome({ kind: 'lost' }),
+      );
     } else if (effect.type === 'probe') {
       const worker = cluster.worker(effect.address);
       const isAnswered =
